--- a/choice/choice.go
+++ b/choice/choice.go
@@ -398,7 +398,7 @@
 	g.refill(a)
 	if code != OK {
 		a.blind = true
-		if code != TimedOut { // else it may have been added
+		if code.NeverRan() { // else it may have been added
 			a.unposted += c.used
 		}
 		return
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"coppergauge/choice"
+	"dunespoke/choice"
 )
 
 // fleet is many gates that share one counter and one clock; every attempt is answered after latency.
--- a/choice/gate_test.go
+++ b/choice/gate_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"coppergauge/choice"
+	"dunespoke/choice"
 )
 
 const ms = time.Millisecond
--- a/cmd/benchlink/link.go
+++ b/cmd/benchlink/link.go
@@ -8,7 +8,8 @@
 	"strings"
 	"time"
 
-	"coppergauge/choice"
+	"dunespoke/choice"
+	"dunespoke/internal/config"
 )
 
 // link holds the gates of all instances and the lists that events refer to.
@@ -155,7 +156,7 @@
 	if f.err != nil {
 		return f.err
 	}
-	s, err := decodeSettings(conf)
+	s, err := config.DecodeSettings([]byte(conf))
 	if err != nil {
 		return fmt.Errorf("BEGIN: field conf: %w", err)
 	}
--- /dev/null
+++ b/core/core.go
@@ -0,0 +1,291 @@
+// Package core takes requests from any front, has package choice decide on them, and carries the decisions
+// out on any upstream. It knows no wire: what a request holds and what an answer holds is the business of
+// the front and the upstream.
+//
+// One goroutine, that of Core.Run, owns the choice.Gate and all state here. Whatever happens elsewhere
+// reaches it as an event of one queue, and is handled in the queue's order.
+package core
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dunespoke/choice"
+)
+
+// Kind says what a final answer is.
+type Kind int
+
+// The kinds of final answers.
+const (
+	Served  Kind = iota // an upstream answered
+	Refused             // it did not run; trying again is harmless
+	Failed              // it may have run
+)
+
+// Answer is the final answer to a request.
+type Answer struct {
+	Kind       Kind
+	RetryAfter time.Duration // with Refused: when to come back; 0: not told
+	Body       any           // with Served: what the upstream gave
+}
+
+// Request is what a front asks for.
+type Request struct {
+	Class    string
+	Plan     string
+	Customer uint64
+	Units    float64       // what it draws from its customer's quota
+	Spread   int           // gateways through which the customer's requests arrive
+	Deadline time.Duration // reading of Core.Now by which the final answer is due
+	Payload  any           // for the upstream
+	// Reply gets the final answer: once, on the core's goroutine, unless the client left before. It must
+	// not block.
+	Reply func(Answer)
+}
+
+// Server is a server as the server list names it.
+type Server struct {
+	Name    string // the same at every gateway and after a restart
+	Addr    string
+	Zone    string
+	Cell    int
+	State   choice.State
+	Weight  float64
+	Started time.Duration // Unix time of its last start; 0: long ago
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Code  choice.Code
+	Body  any       // with choice.OK: for the front
+	Units float64   // true units of the request; 0: not told
+	Load  []float64 // the server's load report, if one came along
+}
+
+// Attempt is one send of a request to a server.
+type Attempt struct {
+	Server  Server
+	Timeout time.Duration // the core aborts the attempt after it
+	Payload any           // of the request
+	End     func(Result)  // to be called once, from any goroutine; late calls do no harm
+}
+
+// Running is an attempt under way.
+type Running interface {
+	// Abort ends the attempt and closes its connection before it returns. It reports whether the
+	// request may have run, or may run yet.
+	Abort() (mayHaveRun bool)
+}
+
+// Upstream sends attempts to servers. Its methods are called on the core's goroutine and must not block.
+type Upstream interface {
+	Start(Attempt) Running
+	// Drop tells that a server drains or is gone: nothing new will be sent to it.
+	Drop(Server)
+}
+
+// Counter adds to named counts. Add must not block; done may be called from any goroutine, or never.
+// Answers for one name must keep the order of the calls.
+type Counter interface {
+	Add(name string, amount float64, keep time.Duration, done func(code choice.Code, total float64))
+}
+
+// Config is what New needs.
+type Config struct {
+	Settings choice.Settings
+	Seed     uint64
+	Upstream Upstream
+	Counter  Counter           // may be nil where Settings.Counter is false
+	Log      func(line string) // takes the gate's lines for on-call staff; may be nil
+}
+
+// grace is how long past its deadline a request may go unanswered before the core itself fails it. It is a
+// net under the gate, which answers at the deadline, and below the slack that the rules leave.
+const grace = 15 * time.Millisecond
+
+// Core carries out the decisions of one gate.
+type Core struct {
+	set      choice.Settings
+	upstream Upstream
+	counter  Counter
+	log      func(string)
+	gate     *choice.Gate
+	start    time.Time
+	origin   time.Duration // Unix time at start
+
+	queue queue
+	ready atomic.Bool
+
+	// Owned by the goroutine of Run.
+	timers   timers
+	after    []func() // what follows from the actions of the event at hand
+	lastID   uint64
+	requests map[uint64]*request
+	ids      map[string]uint64
+	servers  map[uint64]Server
+}
+
+// New returns a core, to be set going by Run.
+func New(c Config) (*Core, error) {
+	start := time.Now()
+	k := &Core{set: c.Settings, upstream: c.Upstream, counter: c.Counter, log: c.Log, start: start,
+		origin: time.Duration(start.UnixNano()), requests: map[uint64]*request{},
+		ids: map[string]uint64{}, servers: map[uint64]Server{}}
+	k.queue.ready = make(chan struct{}, 1)
+	if k.counter == nil {
+		k.set.Counter = false
+	}
+	if k.log == nil {
+		k.log = func(string) {}
+	}
+	gate, err := choice.New(k.set, c.Seed, actions{k})
+	if err != nil {
+		return nil, fmt.Errorf("settings of the gate: %w", err)
+	}
+	k.gate = gate
+	// The first wake of a gate counts the time since the clock's origin, which is Unix time here. It runs
+	// before any server is known, or cold ones would be credited with a budget saved up since 1970.
+	k.fire()
+	return k, nil
+}
+
+// Now is the core's clock: Unix time at the start plus monotonic time since. Gateways share it to within the
+// error of their system clocks, and no step of a system clock turns it back.
+func (c *Core) Now() time.Duration { return c.origin + time.Since(c.start) }
+
+// Ready reports whether requests can be served: some server is live.
+func (c *Core) Ready() bool { return c.ready.Load() }
+
+// Run handles events until the context ends.
+func (c *Core) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		for _, event := range c.queue.take() {
+			event()
+			c.settle()
+		}
+		c.fire()
+		if at, ok := c.timers.next(); ok {
+			timer.Reset(at - c.Now())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-c.queue.ready:
+		}
+	}
+}
+
+// settle runs what the actions of an event left to do: the gate must not be called back from within them.
+func (c *Core) settle() {
+	for len(c.after) > 0 {
+		next := c.after[0]
+		c.after = c.after[1:]
+		next()
+	}
+	c.after = nil
+}
+
+func (c *Core) fire() {
+	for {
+		act := c.timers.due(c.Now())
+		if act == nil {
+			return
+		}
+		act()
+		c.settle()
+	}
+}
+
+// Ticket stands for a request that was handed in.
+type Ticket struct {
+	core *Core
+	r    *request
+}
+
+// Submit hands in a request from any goroutine. From here on it gets one final answer.
+func (c *Core) Submit(in Request) Ticket {
+	r := &request{Request: in}
+	c.queue.put(func() { c.take(r) })
+	return Ticket{c, r}
+}
+
+// Leave says that the client has gone: it gets no answer any more, and its attempt is cancelled.
+func (t Ticket) Leave() { t.core.queue.put(func() { t.core.leave(t.r) }) }
+
+// Servers takes news from the server list: all of it, or the entries that changed.
+func (c *Core) Servers(full bool, list []Server) {
+	c.queue.put(func() { c.learn(full, list) })
+}
+
+func (c *Core) learn(full bool, list []Server) {
+	named := map[uint64]bool{}
+	backends := make([]choice.Backend, 0, len(list))
+	for _, s := range list {
+		id, known := c.ids[s.Name]
+		if !known {
+			if s.State != choice.Live {
+				continue
+			}
+			id = uint64(len(c.ids) + 1)
+			c.ids[s.Name] = id
+		}
+		named[id] = true
+		if old, ok := c.servers[id]; ok && (s.State != choice.Live || old.Addr != s.Addr) {
+			c.upstream.Drop(old)
+		}
+		if s.State == choice.Gone {
+			delete(c.servers, id)
+		} else {
+			c.servers[id] = s
+		}
+		backends = append(backends, choice.Backend{ID: id, Zone: s.Zone, Cell: s.Cell, State: s.State,
+			Weight: s.Weight, Started: s.Started})
+	}
+	live := false
+	for id, s := range c.servers {
+		if full && !named[id] {
+			c.upstream.Drop(s)
+			delete(c.servers, id)
+			continue
+		}
+		live = live || s.State == choice.Live
+	}
+	c.ready.Store(live)
+	c.gate.Backends(c.Now(), full, backends)
+}
+
+// queue holds the events that the core has not handled yet. It has no bound of its own: each event belongs
+// to a connection, an attempt or a call, and those are bounded where they are made.
+type queue struct {
+	mu     sync.Mutex
+	events []func()
+	spare  []func()
+	ready  chan struct{}
+}
+
+func (q *queue) put(event func()) {
+	q.mu.Lock()
+	q.events = append(q.events, event)
+	q.mu.Unlock()
+	select {
+	case q.ready <- struct{}{}:
+	default:
+	}
+}
+
+// take returns the events so far; they stay valid until the next call.
+func (q *queue) take() []func() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	events := q.events
+	clear(q.spare)
+	q.events, q.spare = q.spare[:0], events
+	return events
+}
--- /dev/null
+++ b/front/platform/platform.go
@@ -0,0 +1,215 @@
+// Package platform is the front that speaks the platform's protocol: it turns clients' messages into
+// requests of the core, and the core's answers into messages.
+package platform
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"dunespoke/choice"
+	"dunespoke/core"
+	"dunespoke/internal/http1"
+	"dunespoke/internal/net/accept"
+)
+
+// margin is how long before the client gives up its answer is due: the time of the way there and back, and of
+// a late turn on a busy core.
+const margin = 20 * time.Millisecond
+
+// Front answers the platform's clients. It is an accept.Handler.
+type Front struct {
+	core     *core.Core
+	classes  map[string]choice.Class
+	plans    map[string]bool
+	gateways int
+	draining func() bool
+}
+
+// New returns a front for a core with the given settings.
+func New(c *core.Core, set choice.Settings, draining func() bool) *Front {
+	f := &Front{core: c, classes: map[string]choice.Class{}, plans: map[string]bool{},
+		gateways: set.Gateways, draining: draining}
+	for _, k := range set.Classes {
+		f.classes[k.Name] = k
+	}
+	for _, p := range set.Plans {
+		f.plans[p.Name] = true
+	}
+	return f
+}
+
+// Serve takes a request of a client.
+func (f *Front) Serve(r *http1.Request, respond func(*http1.Answer)) (leave func()) {
+	if r.URL.Path == "/healthz" {
+		respond(f.health(r))
+		return nil
+	}
+	now := f.core.Now()
+	in, problem := f.read(r)
+	if problem != nil {
+		respond(problem)
+		return nil
+	}
+	in.Deadline += now
+	in.Reply = func(a core.Answer) { respond(Translate(a)) }
+	return f.core.Submit(in).Leave
+}
+
+func (f *Front) health(r *http1.Request) *http1.Answer {
+	switch {
+	case r.Method != http.MethodGet && r.Method != http.MethodHead:
+		return notAllowed("GET, HEAD")
+	case f.draining():
+		return accept.Plain(503, "draining")
+	case !f.core.Ready():
+		return accept.Plain(503, "no app server known")
+	}
+	return accept.Plain(200, "ok")
+}
+
+// Translate words a final answer.
+func Translate(a core.Answer) *http1.Answer {
+	switch a.Kind {
+	case core.Served:
+		return a.Body.(*http1.Answer)
+	case core.Refused:
+		answer := accept.Plain(429, "refused")
+		if a.RetryAfter > 0 {
+			seconds := strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)
+			answer.Header = append(answer.Header, [2]string{"Retry-After", seconds})
+		}
+		return answer
+	}
+	return accept.Plain(502, "failed")
+}
+
+func notAllowed(methods string) *http1.Answer {
+	a := accept.Plain(405, "method not allowed")
+	a.Header = append(a.Header, [2]string{"Allow", methods})
+	return a
+}
+
+// read checks a message and makes the core's request of it, with its deadline counted from the arrival.
+func (f *Front) read(r *http1.Request) (core.Request, *http1.Answer) {
+	bad := func(what string) (core.Request, *http1.Answer) { return core.Request{}, accept.Plain(400, what) }
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	class, known := f.classes[name]
+	if !known || !strings.HasPrefix(r.RequestURI, "/") {
+		return core.Request{}, accept.Plain(404, "no such path")
+	}
+	method := http.MethodPost
+	if class.Repeat == choice.Safe {
+		method = http.MethodGet
+	}
+	if r.Method != method {
+		return core.Request{}, notAllowed(method)
+	}
+	in := core.Request{Class: name, Plan: r.Header.Get("X-Contract")}
+	query, err := url.ParseQuery(r.URL.RawQuery)
+	if err != nil {
+		return bad("malformed query")
+	}
+	account := query.Get("account")
+	in.Customer, err = strconv.ParseUint(account, 16, 64)
+	if err != nil || len(account) != 16 {
+		return bad("account: want 16 hex digits")
+	}
+	txn := r.Header.Get("X-Txn")
+	if _, err := strconv.ParseUint(txn, 16, 64); err != nil || len(txn) != 16 {
+		return bad("X-Txn: want 16 hex digits")
+	}
+	key := r.Header.Get("Idempotency-Key")
+	switch {
+	case r.Header.Get("X-Lane") != name:
+		return bad("X-Lane: want the class of the path")
+	case !f.plans[in.Plan]:
+		return bad("X-Contract: unknown")
+	case (class.Repeat == choice.Keyed) != (key != ""):
+		return bad("Idempotency-Key: for the classes that carry one, and no others")
+	case class.Repeat == choice.Safe && len(r.Content) > 0:
+		return bad("a body where the class has none")
+	}
+	left, err := strconv.ParseFloat(r.Header.Get("X-Remaining"), 64)
+	if err != nil || !(left >= 0 && left < 3600) {
+		return bad("X-Remaining: want seconds")
+	}
+	in.Deadline = time.Duration(left*float64(time.Second)) - margin
+	if !f.meter(r.Header.Get("X-Metering"), &in) {
+		return bad("X-Metering: want units, spread and first")
+	}
+	in.Payload = &message{method: r.Method, target: r.RequestURI, txn: txn, key: key,
+		kind: r.Header.Get("Content-Type"), body: r.Content}
+	return in, nil
+}
+
+// meter reads units=2,spread=3,first=1.
+func (f *Front) meter(text string, in *core.Request) bool {
+	seen := 0
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(n >= 0 && n <= 1e9) {
+			return false
+		}
+		switch name {
+		case "units":
+			in.Units = n
+		case "spread":
+			if n < 1 {
+				return false
+			}
+			in.Spread = int(n)
+		case "first":
+		default:
+			continue
+		}
+		seen++
+	}
+	return seen == 3
+}
+
+// message is a request as app servers get it: what identifies it passes on unchanged.
+type message struct {
+	method, target, txn, key, kind string
+	body                           []byte
+}
+
+// Append writes the message.
+func (m *message) Append(buf []byte, s core.Server, wait time.Duration) []byte {
+	buf = append(buf, m.method...)
+	buf = append(buf, ' ')
+	buf = append(buf, m.target...)
+	buf = append(buf, " HTTP/1.1\r\nHost: backend.local\r\nX-Remaining: "...)
+	buf = strconv.AppendFloat(buf, wait.Seconds(), 'f', 3, 64)
+	buf = append(buf, "\r\n"...)
+	buf = http1.AppendHeader(buf, "X-Txn", m.txn)
+	if m.key != "" {
+		buf = http1.AppendHeader(buf, "Idempotency-Key", m.key)
+	}
+	if m.kind != "" {
+		buf = http1.AppendHeader(buf, "Content-Type", m.kind)
+	}
+	if m.method != http.MethodGet {
+		buf = http1.AppendHeader(buf, "Content-Length", strconv.Itoa(len(m.body)))
+	}
+	buf = append(buf, "\r\n"...)
+	return append(buf, m.body...)
+}
+
+// Judge says what an app server's response means.
+func Judge(r *http1.Response) core.Result {
+	switch {
+	case r.StatusCode == 200:
+		answer := &http1.Answer{Status: 200, Body: r.Content}
+		if kind := r.Header.Get("Content-Type"); kind != "" {
+			answer.Header = [][2]string{{"Content-Type", kind}}
+		}
+		return core.Result{Code: choice.OK, Body: answer}
+	case (r.StatusCode == 503 || r.StatusCode == 504) && r.Header.Get("X-Turned-Away") == "1":
+		return core.Result{Code: choice.Busy}
+	}
+	return core.Result{Code: choice.Error}
+}
--- /dev/null
+++ b/internal/config/platform.go
@@ -0,0 +1,111 @@
+// Package config reads what an ingress is told at its start: the platform's JSON, the settings object that the
+// platform shares with the simulator, and an operator's file.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"dunespoke/choice"
+)
+
+// Limits are what the platform grants an ingress.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Platform is the platform's configuration of one ingress.
+type Platform struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      Seed            `json:"seed"`
+	Limits    Limits          `json:"limits"`
+	Counter   string          `json:"counter"`
+	Known     json.RawMessage `json:"known"` // in discovery's form
+	Raw       json.RawMessage `json:"settings"`
+
+	Settings  choice.Settings `json:"-"`
+	KeepAlive time.Duration   `json:"-"` // for which app servers keep idle connections
+}
+
+// Seed is a number for random choices, written as up to 16 hex digits.
+type Seed uint64
+
+// UnmarshalText reads a seed.
+func (s *Seed) UnmarshalText(text []byte) error {
+	n, err := strconv.ParseUint(string(text), 16, 64)
+	*s = Seed(n)
+	return err
+}
+
+// ReadPlatform reads the file that LB_CONFIG names. LB_NAME, LB_LISTEN and LB_DISCOVERY stand in for what the
+// file leaves out.
+func ReadPlatform(getenv func(string) string) (*Platform, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return nil, errors.New("LB_CONFIG is not set: it names the ingress's configuration file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	p, err := decodePlatform(text, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return p, nil
+}
+
+func decodePlatform(text []byte, getenv func(string) string) (*Platform, error) {
+	p := &Platform{}
+	if err := json.Unmarshal(text, p); err != nil {
+		return nil, err
+	}
+	for key, field := range map[string]*string{
+		"LB_NAME": &p.Name, "LB_LISTEN": &p.Listen, "LB_DISCOVERY": &p.Discovery} {
+		if *field == "" {
+			*field = getenv(key)
+		}
+	}
+	switch {
+	case p.Listen == "":
+		return nil, errors.New("listen is missing: the address for clients")
+	case p.Discovery == "":
+		return nil, errors.New("discovery is missing: the address of the list of servers")
+	case len(p.Raw) == 0:
+		return nil, errors.New("settings are missing")
+	case p.Limits.Sockets != 0 && p.Limits.Sockets < 64:
+		return nil, fmt.Errorf("limits.sockets: %d, want 64 or more", p.Limits.Sockets)
+	case p.Limits.MemoryMB < 0 || p.Limits.Cores < 0:
+		return nil, errors.New("limits: figures must not be negative")
+	}
+	var err error
+	if p.Settings, err = DecodeSettings(p.Raw); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := p.Settings.Validate(); err != nil {
+		return nil, err
+	}
+	var w wireSettings
+	if err := json.Unmarshal(p.Raw, &w); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	p.KeepAlive = dur(w.Limits.KeepAlive)
+	if p.KeepAlive <= 0 {
+		p.KeepAlive = 10 * time.Second
+	}
+	if p.Settings.DialTimeout <= 0 {
+		p.Settings.DialTimeout = 250 * time.Millisecond
+	}
+	if p.Settings.Counter && p.Counter == "" {
+		return nil, errors.New("counter is missing: the settings use one")
+	}
+	return p, nil
+}
--- a/cmd/benchlink/settings.go
+++ b/internal/config/settings.go
@@ -1,4 +1,4 @@
-package main
+package config
 
 import (
 	"encoding/json"
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"coppergauge/choice"
+	"dunespoke/choice"
 )
 
 // wireSettings is the part of the start-up settings that the gate uses.
@@ -41,6 +41,7 @@
 		UnitsTop   float64 `json:"units_top"`
 	} `json:"family_info"`
 	Limits struct {
+		KeepAlive     float64 `json:"keepalive"`
 		Cancelling    bool    `json:"cancelling"`
 		DialTimeout   float64 `json:"dial_timeout"`
 		MaxAttempts   int     `json:"max_attempts"`
@@ -63,11 +64,11 @@
 
 func dur(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// decodeSettings reads the settings text; unknown keys are skipped, needed ones are not guessed.
-func decodeSettings(text string) (choice.Settings, error) {
+// DecodeSettings reads the settings object that the simulator and the platform share; unknown keys are skipped, needed ones are not guessed.
+func DecodeSettings(text []byte) (choice.Settings, error) {
 	var keys map[string]json.RawMessage
 	var w wireSettings
-	if err := json.Unmarshal([]byte(text), &keys); err != nil {
+	if err := json.Unmarshal(text, &keys); err != nil {
 		return choice.Settings{}, err
 	}
 	needed := []string{"az", "n_instances", "profiles", "tariffs", "family_info", "limits", "invariants"}
@@ -76,7 +77,7 @@
 			return choice.Settings{}, fmt.Errorf("setting %s is missing", key)
 		}
 	}
-	if err := json.Unmarshal([]byte(text), &w); err != nil {
+	if err := json.Unmarshal(text, &w); err != nil {
 		return choice.Settings{}, err
 	}
 	s := choice.Settings{
--- /dev/null
+++ b/internal/http1/framer.go
@@ -0,0 +1,244 @@
+// Package http1 holds the protocol machines of HTTP/1.1. They are fed bytes and know neither sockets nor
+// clocks. They find where a message ends, and leave what it says to http.ReadRequest and http.ReadResponse.
+package http1
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+)
+
+// Error is what is wrong with a message, and the status that says so to a client.
+type Error struct {
+	Status int
+	Reason string // a code for log lines
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s (%d)", e.Reason, e.Status) }
+
+func bad(status int, reason string) error { return &Error{status, reason} }
+
+// Limits bound a message.
+type Limits struct{ Head, Body int }
+
+// DefaultLimits are those of the platform: 64 KiB of body, and a head far over what its clients send.
+var DefaultLimits = Limits{Head: 16 << 10, Body: 64 << 10}
+
+// Framer cuts a stream of bytes into whole messages.
+type Framer struct {
+	limits   Limits
+	response bool
+	buf      []byte
+	scanned  int // bytes of buf looked at
+	head     int // length of the head, once it is whole
+	form     form
+	need     int // bytes of the whole message, with formLength
+	body     int // bytes of chunked data so far
+	chunks   Chunks
+	ready    int // bytes of the message handed out last
+	headOnly bool
+	err      error
+}
+
+type form int
+
+const (
+	formLength form = iota
+	formChunked
+	formUntilEnd // responses only
+)
+
+// NewRequests returns a framer for a client's requests.
+func NewRequests(l Limits) *Framer { return &Framer{limits: l} }
+
+// NewResponses returns a framer for a server's responses.
+func NewResponses(l Limits) *Framer { return &Framer{limits: l, response: true} }
+
+// Feed takes bytes as they came.
+func (f *Framer) Feed(p []byte) { f.buf = append(f.buf, p...) }
+
+// Buffered returns how many bytes wait for Next.
+func (f *Framer) Buffered() int { return len(f.buf) - f.ready }
+
+// Started reports whether part of a message is here.
+func (f *Framer) Started() bool { return f.Buffered() > 0 }
+
+// WantsContinue reports, once for a request, that its head has come and asks whether to send its body.
+func (f *Framer) WantsContinue() bool {
+	if f.response || f.head == 0 || f.headOnly || len(f.buf) > f.head {
+		return false
+	}
+	f.headOnly = true
+	return bytes.Contains(bytes.ToLower(f.buf[:f.head]), []byte("\nexpect: 100-continue\r\n"))
+}
+
+// Next returns the next whole message, or nothing if more bytes are needed. The message is valid until the
+// next call of Feed or Next. After an error the stream can't be read on.
+func (f *Framer) Next() ([]byte, error) {
+	if f.err != nil {
+		return nil, f.err
+	}
+	f.drop()
+	msg, err := f.next()
+	f.err = err
+	return msg, err
+}
+
+// End tells that the stream has ended, and returns the message that its end completes, if one does.
+func (f *Framer) End() ([]byte, error) {
+	msg, err := f.Next()
+	switch {
+	case err != nil || msg != nil:
+		return msg, err
+	case f.head > 0 && f.form == formUntilEnd:
+		f.ready = len(f.buf)
+		return f.buf, nil
+	case f.Started():
+		return nil, bad(400, "cut-short")
+	}
+	return nil, nil
+}
+
+// drop removes the message handed out last.
+func (f *Framer) drop() {
+	if f.ready == 0 {
+		return
+	}
+	rest := copy(f.buf, f.buf[f.ready:])
+	*f = Framer{limits: f.limits, response: f.response, buf: f.buf[:rest], chunks: Chunks{line: f.chunks.line[:0]}}
+}
+
+func (f *Framer) next() ([]byte, error) {
+	if f.head == 0 {
+		if err := f.findHead(); err != nil || f.head == 0 {
+			return nil, err
+		}
+	}
+	switch f.form {
+	case formLength:
+		if len(f.buf) < f.need {
+			return nil, nil
+		}
+		f.ready = f.need
+	case formChunked:
+		used, done, err := f.chunks.Feed(f.buf[f.scanned:], func(p []byte) { f.body += len(p) })
+		f.scanned += used
+		switch {
+		case err != nil:
+			return nil, err
+		case f.body > f.limits.Body || f.scanned-f.head > 4*f.limits.Body: // the latter of tiny chunks
+			return nil, bad(413, "body-too-large")
+		case !done:
+			return nil, nil
+		}
+		f.ready = f.scanned
+	case formUntilEnd:
+		if len(f.buf)-f.head > f.limits.Body {
+			return nil, bad(413, "body-too-large")
+		}
+		return nil, nil
+	}
+	return f.buf[:f.ready], nil
+}
+
+// findHead looks for the end of the head and works out how the body is framed.
+func (f *Framer) findHead() error {
+	for { // an empty line before a message is passed over, as RFC 9112 asks
+		if !bytes.HasPrefix(f.buf, []byte("\r\n")) {
+			break
+		}
+		f.buf, f.scanned = f.buf[2:], 0
+	}
+	end := bytes.Index(f.buf[max(0, f.scanned-3):], []byte("\r\n\r\n"))
+	if end < 0 {
+		f.scanned = len(f.buf)
+		if len(f.buf) > f.limits.Head {
+			return bad(431, "head-too-large")
+		}
+		if i := bytes.IndexByte(f.buf, '\n'); i == 0 || i > 0 && f.buf[i-1] != '\r' {
+			return bad(400, "bare-line-feed") // or such a head would never end
+		}
+		return nil
+	}
+	head := max(0, f.scanned-3) + end + 4
+	if head > f.limits.Head {
+		return bad(431, "head-too-large")
+	}
+	if err := f.frame(f.buf[:head-2]); err != nil {
+		return err
+	}
+	if f.response && f.buf[0] == 'H' && interim(f.buf[:head]) {
+		f.buf, f.scanned = f.buf[head:], 0
+		f.form, f.need = formLength, 0
+		return f.findHead()
+	}
+	f.head, f.scanned = head, head
+	f.need += head
+	return nil
+}
+
+// interim reports whether a response only goes before the true one.
+func interim(head []byte) bool {
+	_, status, _ := bytes.Cut(head, []byte(" "))
+	return len(status) > 0 && status[0] == '1'
+}
+
+// frame reads from the lines of a head how long the body is. It guards against requests that two readers
+// could take for different ones: a length and chunks, two lengths, lines carried on, odd line ends.
+func (f *Framer) frame(lines []byte) error {
+	length, chunked := -1, false
+	first, lines, _ := bytes.Cut(lines, []byte("\r\n"))
+	if bytes.IndexByte(first, '\n') >= 0 {
+		return bad(400, "bare-line-feed")
+	}
+	for len(lines) > 0 {
+		var line []byte
+		line, lines, _ = bytes.Cut(lines, []byte("\r\n"))
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		switch {
+		case bytes.ContainsAny(line, "\n\r\x00"):
+			return bad(400, "bare-line-feed")
+		case !ok || len(name) == 0 || bytes.ContainsAny(name, " \t"):
+			return bad(400, "header-line")
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			n, ok := decimal(bytes.Trim(value, " \t"))
+			if !ok || length >= 0 {
+				return bad(400, "content-length")
+			}
+			length = n
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			if chunked || !bytes.EqualFold(bytes.Trim(value, " \t"), []byte("chunked")) {
+				return bad(400, "transfer-encoding")
+			}
+			chunked = true
+		}
+	}
+	switch {
+	case chunked && length >= 0:
+		return bad(400, "length-and-chunked")
+	case chunked:
+		f.form = formChunked
+	case length > f.limits.Body:
+		return bad(413, "body-too-large")
+	case length < 0 && f.response && !bodyless(first):
+		f.form = formUntilEnd
+	default:
+		f.form, f.need = formLength, max(0, length)
+	}
+	return nil
+}
+
+// bodyless reports whether a status line is of a response that never has a body.
+func bodyless(first []byte) bool {
+	_, status, _ := bytes.Cut(first, []byte(" "))
+	return bytes.HasPrefix(status, []byte("1")) || bytes.HasPrefix(status, []byte("204")) ||
+		bytes.HasPrefix(status, []byte("304"))
+}
+
+func decimal(digits []byte) (n int, ok bool) {
+	if len(digits) == 0 || len(digits) > 9 || bytes.ContainsFunc(digits, func(r rune) bool { return r < '0' || r > '9' }) {
+		return 0, false
+	}
+	n, err := strconv.Atoi(string(digits))
+	return n, err == nil
+}
--- /dev/null
+++ b/internal/http1/message.go
@@ -0,0 +1,112 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+// Request is a whole request.
+type Request struct {
+	*http.Request
+	Content []byte // the body
+}
+
+// Response is a whole response.
+type Response struct {
+	*http.Response
+	Content []byte
+}
+
+// Parser turns whole messages into requests or responses.
+type Parser struct {
+	bytes bytes.Reader
+	buf   *bufio.Reader
+}
+
+func (p *Parser) reader(msg []byte) *bufio.Reader {
+	p.bytes.Reset(msg)
+	if p.buf == nil {
+		p.buf = bufio.NewReader(&p.bytes)
+	} else {
+		p.buf.Reset(&p.bytes)
+	}
+	return p.buf
+}
+
+// Request parses a whole request.
+func (p *Parser) Request(msg []byte) (*Request, error) {
+	r, err := http.ReadRequest(p.reader(msg))
+	if err != nil {
+		return nil, bad(400, "malformed")
+	}
+	if r.ProtoMajor != 1 {
+		return nil, bad(505, "version")
+	}
+	content, err := body(r.Body, r.ContentLength)
+	if err != nil {
+		return nil, bad(400, "malformed-body")
+	}
+	return &Request{r, content}, nil
+}
+
+// Response parses a whole response to a request that was not HEAD.
+func (p *Parser) Response(msg []byte) (*Response, error) {
+	r, err := http.ReadResponse(p.reader(msg), nil)
+	if err != nil {
+		return nil, bad(502, "malformed")
+	}
+	content, err := body(r.Body, r.ContentLength)
+	if err != nil {
+		return nil, bad(502, "malformed-body")
+	}
+	return &Response{r, content}, nil
+}
+
+// body reads a body at once where its length is known, and to its end where it is not.
+func body(r io.Reader, length int64) ([]byte, error) {
+	switch {
+	case length == 0:
+		return nil, nil
+	case length < 0:
+		return io.ReadAll(r)
+	}
+	content := make([]byte, length)
+	_, err := io.ReadFull(r, content)
+	return content, err
+}
+
+// Answer is a response to be written.
+type Answer struct {
+	Status int
+	Header [][2]string // beside the framing
+	Body   []byte
+}
+
+// Append writes the answer's bytes behind buf. With last, it says that the connection closes after it.
+func (a *Answer) Append(buf []byte, last bool) []byte {
+	buf = append(buf, "HTTP/1.1 "...)
+	buf = strconv.AppendInt(buf, int64(a.Status), 10)
+	buf = append(buf, ' ')
+	buf = append(buf, http.StatusText(a.Status)...)
+	buf = append(buf, "\r\n"...)
+	for _, h := range a.Header {
+		buf = AppendHeader(buf, h[0], h[1])
+	}
+	if last {
+		buf = AppendHeader(buf, "Connection", "close")
+	}
+	buf = AppendHeader(buf, "Content-Length", strconv.Itoa(len(a.Body)))
+	buf = append(buf, "\r\n"...)
+	return append(buf, a.Body...)
+}
+
+// AppendHeader writes one header line behind buf.
+func AppendHeader(buf []byte, name, value string) []byte {
+	buf = append(buf, name...)
+	buf = append(buf, ": "...)
+	buf = append(buf, value...)
+	return append(buf, "\r\n"...)
+}
--- /dev/null
+++ b/internal/http1/stream.go
@@ -0,0 +1,55 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+)
+
+// Stream takes apart a chunked response that stays open and holds one object a line.
+type Stream struct {
+	head   []byte
+	opened bool
+	chunks Chunks
+	line   []byte
+}
+
+const longestObject = 4 << 20 // a list of tens of thousands of servers
+
+// Feed takes bytes as they came and hands each whole line to line, empty ones too. It reports done once the
+// response has ended.
+func (s *Stream) Feed(p []byte, line func([]byte) error) (done bool, err error) {
+	if !s.opened {
+		s.head = append(s.head, p...)
+		end := bytes.Index(s.head, []byte("\r\n\r\n"))
+		switch {
+		case end < 0 && len(s.head) > DefaultLimits.Head:
+			return false, bad(502, "head-too-large")
+		case end < 0:
+			return false, nil
+		}
+		r, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(s.head[:end+4])), nil)
+		switch {
+		case err != nil:
+			return false, bad(502, "malformed")
+		case r.StatusCode != 200:
+			return false, bad(r.StatusCode, "status")
+		case len(r.TransferEncoding) == 0:
+			return false, bad(502, "not-chunked")
+		}
+		p, s.head, s.opened = s.head[end+4:], nil, true
+	}
+	_, done, err = s.chunks.Feed(p, func(data []byte) { s.line = append(s.line, data...) })
+	for err == nil {
+		end := bytes.IndexByte(s.line, '\n')
+		if end < 0 {
+			if len(s.line) > longestObject {
+				err = bad(502, "line-too-long")
+			}
+			break
+		}
+		err = line(bytes.TrimSpace(s.line[:end]))
+		s.line = s.line[:copy(s.line, s.line[end+1:])]
+	}
+	return done, err
+}
--- /dev/null
+++ b/internal/net/accept/accept.go
@@ -0,0 +1,284 @@
+// Package accept is the first stage of a request: it takes clients' connections, reads whole requests from
+// them, and writes the answers back.
+package accept
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dunespoke/internal/http1"
+)
+
+// Handler answers requests.
+type Handler interface {
+	// Serve takes a request. It must not block, and it must see to it that respond is called once, from
+	// any goroutine, with the answer; unless the client leaves before, which it learns by the function it
+	// returns (nil, if that makes no difference).
+	Serve(r *http1.Request, respond func(*http1.Answer)) (leave func())
+}
+
+// Server takes connections for a Handler.
+type Server struct {
+	handler Handler
+	log     zerolog.Logger
+	slots   chan struct{} // one for each connection that may be open
+
+	listener net.Listener
+	draining atomic.Bool
+	closed   atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	empty chan struct{} // closed when the last connection has gone, after Close
+}
+
+// drainAccept is how long new connections are taken after Drain: the front notices only then.
+const drainAccept = 500 * time.Millisecond
+
+// headWait bounds how long a client may take to send one request, so that slow ones don't hold connections.
+const headWait = 20 * time.Second
+
+// New returns a server that holds at most the given number of connections.
+func New(h Handler, connections int, log zerolog.Logger) *Server {
+	return &Server{handler: h, log: log, slots: make(chan struct{}, max(1, connections)),
+		conns: map[*conn]struct{}{}, empty: make(chan struct{})}
+}
+
+// Serve takes connections from the listener until Drain or Close.
+func (s *Server) Serve(l net.Listener) error {
+	s.listener = l
+	for {
+		s.slots <- struct{}{} // at the limit, clients wait to be accepted
+		nc, err := l.Accept()
+		if err != nil {
+			<-s.slots
+			switch {
+			case s.closed.Load():
+				return nil
+			case errors.Is(err, net.ErrClosed):
+				return fmt.Errorf("accepting clients: %w", err)
+			}
+			// Guards against giving up for good when descriptors run short for a moment.
+			s.log.Warn().Err(err).Str("code", "accept-failed").Msg("accept")
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		c := &conn{s: s, nc: nc, frames: http1.NewRequests(http1.DefaultLimits), since: time.Now()}
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		go c.read()
+	}
+}
+
+// Drain ends service in the order a planned restart wants: connections are still taken for a while, every
+// answer from now on closes its connection, then idle connections are closed, and it returns when all that
+// was taken is answered.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	time.Sleep(drainAccept)
+	s.closed.Store(true)
+	s.listener.Close()
+	s.mu.Lock()
+	all := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	if len(all) == 0 {
+		close(s.empty)
+	}
+	s.mu.Unlock()
+	for _, c := range all {
+		c.closeIdle()
+	}
+	<-s.empty
+}
+
+// Draining reports whether the server is on its way out.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+func (s *Server) gone(c *conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	if len(s.conns) == 0 && s.closed.Load() {
+		select {
+		case <-s.empty:
+		default:
+			close(s.empty)
+		}
+	}
+	s.mu.Unlock()
+	<-s.slots
+}
+
+// conn is one client's connection. Its reader reads on while a request is being answered, for that is how
+// it learns that the client has gone.
+type conn struct {
+	s     *Server
+	nc    net.Conn
+	since time.Time
+
+	mu     sync.Mutex
+	frames *http1.Framer
+	parser http1.Parser
+	busy   bool   // a request is being answered
+	last   bool   // nothing more is read after the answer at hand
+	leave  func() // for the request being answered
+	out    []byte
+	ended  bool
+	count  int
+}
+
+// Buffered input beyond which a client that sends on while it waits is cut off: one whole request.
+const mostAhead = 96 << 10
+
+func (c *conn) read() {
+	defer c.s.gone(c)
+	buf := make([]byte, 4<<10)
+	for {
+		c.nc.SetReadDeadline(time.Now().Add(headWait))
+		n, err := c.nc.Read(buf)
+		c.mu.Lock()
+		if n > 0 {
+			c.frames.Feed(buf[:n])
+			c.advance()
+			if c.frames.Buffered() > mostAhead {
+				err = errors.New("too much ahead")
+			}
+		}
+		if err != nil && !c.ended {
+			if c.waits(err) {
+				c.mu.Unlock()
+				continue
+			}
+			c.end(reason(err))
+		}
+		ended := c.ended
+		c.mu.Unlock()
+		if ended {
+			return
+		}
+	}
+}
+
+// waits reports whether a read that timed out is no reason to end: an idle client may stay, and one that
+// waits for its answer must.
+func (c *conn) waits(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout() && (c.busy || !c.frames.Started())
+}
+
+func reason(err error) string {
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "request-too-slow"
+	case err.Error() == "too much ahead":
+		return "too-much-ahead"
+	case err.Error() == "EOF":
+		return "client-closed"
+	}
+	return "client-reset"
+}
+
+// advance starts on the next request if one is whole and none is being answered. The lock is held.
+func (c *conn) advance() {
+	if c.busy || c.ended || c.last {
+		return
+	}
+	msg, err := c.frames.Next()
+	var r *http1.Request
+	switch {
+	case err == nil && msg == nil:
+		if c.frames.WantsContinue() {
+			c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		}
+		return
+	case err == nil:
+		r, err = c.parser.Request(msg)
+	}
+	c.busy, c.leave = true, nil
+	c.count++
+	if err != nil {
+		c.last = true
+		go c.respond(Problem(err))
+		return
+	}
+	c.last = r.Close || !r.ProtoAtLeast(1, 1)
+	c.leave = c.s.handler.Serve(r, func(a *http1.Answer) { go c.respond(a) })
+}
+
+// Problem is the answer to a request that can't be read.
+func Problem(err error) *http1.Answer {
+	status, text := 400, "malformed"
+	var e *http1.Error
+	if errors.As(err, &e) {
+		status, text = e.Status, e.Reason
+	}
+	return Plain(status, text)
+}
+
+// Plain is an answer of one line of text.
+func Plain(status int, text string) *http1.Answer {
+	return &http1.Answer{Status: status, Header: [][2]string{{"Content-Type", "text/plain; charset=utf-8"}},
+		Body: []byte(text + "\n")}
+}
+
+// respond writes an answer, and goes on to what the client sent meanwhile.
+func (c *conn) respond(a *http1.Answer) {
+	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return
+	}
+	c.last = c.last || c.s.Draining()
+	c.out = a.Append(c.out[:0], c.last)
+	last := c.last
+	c.mu.Unlock()
+	// Not under the lock, so that a client that doesn't read its answer can still be seen to go.
+	c.nc.SetWriteDeadline(time.Now().Add(headWait))
+	_, err := c.nc.Write(c.out)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy, c.leave = false, nil
+	if cap(c.out) > 16<<10 { // memory is short, and most answers are
+		c.out = nil
+	}
+	switch {
+	case c.ended:
+	case err != nil:
+		c.end("answer-not-written")
+	case last || c.s.closed.Load():
+		c.end("answered-last")
+	default:
+		c.advance()
+	}
+}
+
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.busy && !c.frames.Started() {
+		c.end("drained")
+	}
+}
+
+// end closes the connection and leaves its log line. The lock is held.
+func (c *conn) end(code string) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	if c.leave != nil {
+		c.leave()
+	}
+	c.nc.Close()
+	c.s.log.Info().Str("side", "client").Str("code", code).Bool("waiting", c.busy).Int("requests", c.count).
+		Dur("age", time.Since(c.since)).Msg("connection ended")
+}
--- /dev/null
+++ b/internal/net/counter/counter.go
@@ -0,0 +1,303 @@
+// Package counter calls the quota counter over a few connections, on which calls follow one another without
+// waiting for answers. A name always goes by the same connection, so that its answers keep the calls' order.
+package counter
+
+import (
+	"errors"
+	"hash/fnv"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dunespoke/choice"
+	"dunespoke/internal/http1"
+)
+
+const (
+	lanes    = 4                      // connections: the counter holds 32 from one address
+	mostOut  = 64                     // calls a connection may have unanswered, against a silent counter
+	idle     = 4 * time.Second        // after which a connection is closed: the counter does so within 10 s
+	silent   = time.Second            // without an answer after which a connection is given up for a new one
+	dialWait = 250 * time.Millisecond // for a connection to come up
+	restMin  = 20 * time.Millisecond  // between dials that fail
+	restMax  = time.Second
+)
+
+// Client calls a counter. It is a core.Counter.
+type Client struct {
+	lanes [lanes]*lane
+}
+
+// New returns a client of the counter at an address. Calls that could not be written within the limit are
+// dropped: the core has taken them for timed out.
+func New(addr string, limit time.Duration, log zerolog.Logger) *Client {
+	c := &Client{}
+	for i := range c.lanes {
+		c.lanes[i] = &lane{addr: addr, limit: limit, log: log}
+	}
+	return c
+}
+
+// Add makes a call. What can't be written, for the line is full or there is none, has added nothing.
+func (c *Client) Add(name string, amount float64, keep time.Duration, done func(choice.Code, float64)) {
+	h := fnv.New32a()
+	io.WriteString(h, name)
+	c.lanes[h.Sum32()%lanes].add(&call{name: name, amount: amount, keep: keep, done: done, at: time.Now()})
+}
+
+type call struct {
+	name   string
+	amount float64
+	keep   time.Duration
+	done   func(choice.Code, float64)
+	at     time.Time
+}
+
+// lane is one connection and the calls on it, over its reconnections.
+type lane struct {
+	addr  string
+	limit time.Duration
+	log   zerolog.Logger
+
+	mu      sync.Mutex
+	queue   []*call // not written yet
+	writing bool    // a goroutine of flush is at work
+	line    *line
+	rest    time.Duration // since the last dial that failed
+	restTo  time.Time
+}
+
+// line is one life of a lane's connection.
+type line struct {
+	lane  *lane
+	nc    net.Conn
+	since time.Time
+
+	mu      sync.Mutex
+	pending []*call // written, in the order of their answers
+	ended   bool
+	count   int
+}
+
+func (l *lane) add(c *call) {
+	l.mu.Lock()
+	out := len(l.queue)
+	if l.line != nil {
+		out += l.line.outstanding()
+	}
+	if out >= mostOut || l.line == nil && c.at.Before(l.restTo) {
+		l.mu.Unlock()
+		c.done(choice.Refused, 0)
+		return
+	}
+	l.queue = append(l.queue, c)
+	start := !l.writing
+	l.writing = true
+	l.mu.Unlock()
+	if start {
+		go l.flush()
+	}
+}
+
+// flush writes what is queued, and connects before if need be.
+func (l *lane) flush() {
+	var buf []byte
+	for {
+		l.mu.Lock()
+		ln := l.line
+		if ln == nil {
+			l.mu.Unlock()
+			if ln = l.connect(); ln == nil {
+				return
+			}
+			l.mu.Lock()
+		}
+		calls := l.queue
+		l.queue = nil
+		if len(calls) == 0 {
+			l.writing = false
+			l.mu.Unlock()
+			return
+		}
+		l.mu.Unlock()
+		ln.write(&buf, calls)
+	}
+}
+
+// connect opens the lane's connection. If it can't, all that is queued has added nothing.
+func (l *lane) connect() *line {
+	nc, err := net.DialTimeout("tcp", l.addr, dialWait)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.rest = min(max(2*l.rest, restMin), restMax)
+		l.restTo = time.Now().Add(l.rest)
+		calls := l.queue
+		l.queue, l.writing = nil, false
+		for _, c := range calls {
+			c.done(choice.Refused, 0)
+		}
+		l.log.Info().Str("side", "counter").Str("code", "dial-failed").Err(err).Msg("connection ended")
+		return nil
+	}
+	l.rest = 0
+	nc.SetReadDeadline(time.Now().Add(idle))
+	l.line = &line{lane: l, nc: nc, since: time.Now()}
+	go l.line.read()
+	return l.line
+}
+
+func (n *line) outstanding() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.pending)
+}
+
+func (n *line) write(buf *[]byte, calls []*call) {
+	out, now := (*buf)[:0], time.Now()
+	n.mu.Lock()
+	var sent []*call
+	for _, c := range calls {
+		if now.Sub(c.at) >= n.lane.limit {
+			continue // taken for timed out by now; adding it late would spend a lease that nobody has
+		}
+		sent = append(sent, c)
+		out = appendCall(out, n.lane.addr, c)
+	}
+	*buf = out
+	if n.ended {
+		n.mu.Unlock()
+		for _, c := range sent {
+			c.done(choice.Refused, 0)
+		}
+		return
+	}
+	if len(n.pending) == 0 {
+		n.nc.SetReadDeadline(now.Add(silent))
+	}
+	n.pending = append(n.pending, sent...)
+	n.count += len(sent)
+	n.mu.Unlock()
+	if len(out) == 0 {
+		return
+	}
+	if _, err := n.nc.Write(out); err != nil {
+		n.end("counter-reset") // some calls may have been written: all of them may have been added
+	}
+}
+
+func appendCall(buf []byte, host string, c *call) []byte {
+	buf = append(buf, "POST /v1/count/"...)
+	buf = append(buf, c.name...)
+	buf = append(buf, "?add="...)
+	buf = strconv.AppendFloat(buf, c.amount, 'f', -1, 64)
+	buf = append(buf, "&ttl_ms="...)
+	buf = strconv.AppendInt(buf, max(1, c.keep.Milliseconds()), 10)
+	buf = append(buf, " HTTP/1.1\r\n"...)
+	buf = http1.AppendHeader(buf, "Host", host)
+	return append(buf, "Content-Length: 0\r\n\r\n"...)
+}
+
+func (n *line) read() {
+	frames := http1.NewResponses(http1.DefaultLimits)
+	var parser http1.Parser
+	buf := make([]byte, 4<<10)
+	for {
+		count, err := n.nc.Read(buf)
+		if err != nil {
+			n.end(n.reason(err))
+			return
+		}
+		frames.Feed(buf[:count])
+		for {
+			msg, err := frames.Next()
+			if err != nil {
+				n.end("bad-answer")
+				return
+			}
+			if msg == nil {
+				break
+			}
+			r, err := parser.Response(msg)
+			if err != nil || !n.answered(r) {
+				n.end("bad-answer")
+				return
+			}
+		}
+	}
+}
+
+func (n *line) reason(err error) string {
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout() && n.outstanding() > 0:
+		return "counter-silent"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "idle"
+	case errors.Is(err, io.EOF):
+		return "counter-closed"
+	}
+	return "counter-reset"
+}
+
+// answered matches an answer with its call.
+func (n *line) answered(r *http1.Response) bool {
+	n.mu.Lock()
+	if len(n.pending) == 0 || n.ended {
+		n.mu.Unlock()
+		return false
+	}
+	c := n.pending[0]
+	n.pending = n.pending[1:]
+	wait := idle
+	if len(n.pending) > 0 {
+		wait = silent
+	}
+	n.nc.SetReadDeadline(time.Now().Add(wait))
+	n.mu.Unlock()
+	switch r.StatusCode {
+	case 200:
+		total, err := strconv.ParseFloat(strings.TrimSpace(string(r.Content)), 64)
+		if err != nil || total != total {
+			c.done(choice.Reset, 0)
+			return false
+		}
+		c.done(choice.OK, total)
+	case 503:
+		c.done(choice.Busy, 0)
+	default:
+		n.lane.log.Warn().Str("code", "counter-rejects").Int("status", r.StatusCode).Str("name", c.name).
+			Msg("call to the counter")
+		c.done(choice.Refused, 0)
+	}
+	return true
+}
+
+// end closes the connection. What was written and not answered may have been added.
+func (n *line) end(code string) {
+	n.mu.Lock()
+	if n.ended {
+		n.mu.Unlock()
+		return
+	}
+	n.ended = true
+	calls := n.pending
+	n.pending = nil
+	n.mu.Unlock()
+	n.nc.Close()
+	n.lane.mu.Lock()
+	if n.lane.line == n {
+		n.lane.line = nil
+	}
+	n.lane.mu.Unlock()
+	for _, c := range calls {
+		c.done(choice.Reset, 0)
+	}
+	n.lane.log.Info().Str("side", "counter").Str("code", code).Int("calls", n.count).Int("unanswered", len(calls)).
+		Dur("age", time.Since(n.since)).Msg("connection ended")
+}
