Add the token introspection front, bearer checks, middleware and agent checks

The front asks a service under the same core: questions are counted, timed and refused with Retry-After; a question without an answer is never told as inactive. Checks of bearer tokens share their request's deadline, and nothing goes to an app server before the check is over. All of it is off without an operator's file (deploy/introspection.toml).

Tests: a scenario language (send, expect, close, wait) played on a network in memory with a fake clock, so that a stand-in's 10 s of silence takes no time.

--- /dev/null
+++ b/cmd/dunespoke/scenario_test.go
@@ -0,0 +1,279 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dunespoke/choice"
+	"dunespoke/internal/config"
+	"dunespoke/internal/scenario"
+)
+
+// testConf is an ingress with one app server at "app", and one customer plan. Its quota is 12 at once.
+func testConf(counter bool) *config.Platform {
+	return &config.Platform{Name: "n0", Listen: "ingress", Discovery: "discovery", Counter: "counter", Seed: 1,
+		KeepAlive: 15 * time.Second, Known: json.RawMessage(`{"generation":4,"reset":true,"instances":[
+			{"instanceId":"s-1","hostPort":"app","zone":"a","lifecycle":"Ready","weight":1}]}`),
+		Settings: choice.Settings{Zone: "a", Gateways: 1, MaxUnits: 1, Counter: counter,
+			CounterTimeout: 50 * time.Millisecond, MaxAttempts: 3, DialTimeout: 250 * time.Millisecond,
+			MaxRetryAfter: 2 * time.Second, Cancel: true, QueueField: -1,
+			Classes: []choice.Class{
+				{Name: "enquiry", Repeat: choice.Safe, Aim: time.Second, Deadline: 4 * time.Second, Worth: 3},
+				{Name: "transfer", Repeat: choice.Keyed, Group: choice.GroupCell, Window: 4 * time.Second,
+					Aim: time.Second, Deadline: 4 * time.Second, Worth: 5},
+				{Name: "withdrawal", Repeat: choice.Unsafe, Aim: time.Second, Deadline: 3 * time.Second, Worth: 3}},
+			Plans: []choice.Plan{{Name: "basic", Rate: 0.1, Burst: 12, Price: 1, ExcessCost: 1}}}}
+}
+
+// testOperator sets up introspection before a service at "idp", and checks of bearer tokens if wanted.
+func testOperator(bearer string) config.Operator {
+	var o config.Operator
+	n := &o.Introspection
+	n.Listen, n.Path, n.Gateways = "ingress", "/introspect", 1
+	n.Patience, n.Aim = config.Duration(3*time.Second), config.Duration(time.Second)
+	n.CacheFor = config.Duration(time.Minute)
+	n.Service.Servers, n.Service.Path = []string{"idp"}, "/ask"
+	n.Service.KeepAlive = config.Duration(10 * time.Second)
+	n.Service.ClientID, n.Service.Secret = "dunespoke", "s3cret"
+	n.Plans = append(n.Plans, struct {
+		Name  string  `toml:"name"`
+		Rate  float64 `toml:"rate"`
+		Burst float64 `toml:"burst"`
+	}{"few", 0.1, 12})
+	n.Clients = append(n.Clients, struct {
+		ID           string            `toml:"id"`
+		SecretSHA256 string            `toml:"secret_sha256"`
+		Plan         string            `toml:"plan"`
+		Secret       [sha256.Size]byte `toml:"-"`
+	}{ID: "a", Plan: "few", Secret: sha256.Sum256([]byte("b"))})
+	if bearer != "" {
+		n.Listen, n.Bearer.Plan = "", bearer
+	}
+	return o
+}
+
+var words = map[string]string{
+	"get": `GET /enquiry?account=0000000000000007 HTTP/1.1\r\nHost: h\r\nX-Lane: enquiry\r\n$head`,
+	"post": `POST /withdrawal?account=0000000000000007 HTTP/1.1\r\nHost: h\r\nX-Lane: withdrawal\r\n` +
+		`Content-Length: 2\r\n$head`,
+	"head": `X-Txn: 00000000000000aa\r\nX-Contract: basic\r\nX-Remaining: 2.000\r\n` +
+		`X-Metering: units=1,spread=1,first=0\r\n`,
+	"ok":    `HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nmoney`,
+	"basic": `POST /introspect HTTP/1.1\r\nHost: h\r\nAuthorization: Basic YTpi\r\n$form`,
+	"form":  `Content-Type: application/x-www-form-urlencoded\r\nContent-Length: 9\r\n\r\ntoken=tok`,
+	"json":  `HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: `,
+}
+
+// play runs a program in a bubble, with all its parties on a network in memory, and a script against it. It
+// returns the program's log.
+func play(t *testing.T, conf *config.Platform, o config.Operator, script string) string {
+	t.Helper()
+	var log safeBuffer
+	synctest.Test(t, func(t *testing.T) {
+		n := scenario.NewNet()
+		ctx, end := context.WithCancel(t.Context())
+		for _, addr := range []string{"app", "counter", "discovery", "idp"} {
+			n.Listen("memory", addr)
+		}
+		p := &program{log: zerolog.New(&log), listen: n.Listen, dial: n.Dial, work: ctx, failed: make(chan error, 4)}
+		if err := p.start(conf, o); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		scenario.Play(t, n, words, script)
+		p.drain()
+		end()
+		n.Close()
+		time.Sleep(time.Minute) // whatever still waits runs into its limit
+	})
+	return log.String()
+}
+
+type safeBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+// served is one enquiry, from its client to the app server and back.
+const served = `
+		client send $get\r\n
+		app expect GET
+		app send $ok
+		client expect money
+`
+
+// scenarios of the platform's front, without a counter.
+var scenarios = map[string]string{
+	"served, and the connection kept": `
+		client send $get\r\n
+		app expect GET /enquiry?account=0000000000000007 HTTP/1.1
+		app expect X-Remaining: 1.9
+		app expect X-Txn: 00000000000000aa
+		app send $ok
+		client expect HTTP/1.1 200 OK
+		client expect money
+		client send $post\r\nhi
+		app expect POST /withdrawal
+		app expect hi
+		app send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n
+		client expect abcde`,
+	"a reset withdrawal fails and is not sent again": `
+		client send $post\r\nhi
+		app expect hi
+		app close
+		client expect HTTP/1.1 502
+		app2 wait nothing`,
+	"a reset enquiry is sent again, as far as the budget for that goes": strings.Repeat(served, 4) + `
+		client send $get\r\n
+		app expect GET
+		app close
+		app2 expect GET
+		app2 send $ok
+		client expect money`,
+	"a cut answer is a reset, and not passed on": `
+		client send $post\r\nhi
+		app expect hi
+		app send HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nmon
+		app close
+		client expect HTTP/1.1 502`,
+	"turned away unseen, a withdrawal goes out again": `
+		client send $post\r\nhi
+		app expect hi
+		app send HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n
+		app expect hi
+		app send $ok
+		client expect money`,
+	"silence ends in time and closes the attempt": `
+		client send $post\r\nhi
+		app expect hi
+		app wait closed
+		client expect HTTP/1.1 502
+		client expect failed\n
+		client wait 3s
+		client wait nothing`,
+	"what a client leaves is cancelled": `
+		client send $get\r\n
+		app expect GET
+		client close
+		app wait closed`,
+	"an idle connection that has ended is not used": `
+		client send $post\r\nhi
+		app expect hi
+		app send $ok
+		client expect money
+		app close
+		client send $post\r\nhi
+		app2 expect hi
+		app2 send $ok
+		client expect money`,
+	"an idle connection is closed well before the server does": `
+		client send $get\r\n
+		app expect 00000000000000aa\r\n\r\n
+		app send $ok
+		client expect money
+		client wait 8.8s
+		app wait nothing
+		client wait 300ms
+		app wait closed`,
+	"beyond the quota is refused, with advice": strings.Repeat(served, 12) + `
+		client send $get\r\n
+		client expect HTTP/1.1 429
+		client expect Retry-After: 2.000
+		client expect refused`,
+	"the list of servers is followed": `
+		discovery expect since=4
+		discovery send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n
+		discovery send 83\r\n{"generation":5,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"app",
+		discovery send "zone":"a","lifecycle":"Terminating","weight":1}]}\n\r\n
+		client send GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n
+		client expect HTTP/1.1 503
+		client send $get\r\n
+		client expect HTTP/1.1 429
+		app wait nothing
+		discovery wait 8s
+		discovery wait closed
+		discovery2 expect since=5`,
+	"bad input is told and not sent on": `
+		client send GET /nosuch HTTP/1.1\r\nHost: h\r\n\r\n
+		client expect HTTP/1.1 404
+		client send POST /enquiry HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n
+		client expect HTTP/1.1 405
+		client expect Allow: GET
+		client send GET /enquiry?account=7 HTTP/1.1\r\nHost: h\r\n\r\n
+		client expect HTTP/1.1 400
+		client send $getX-Metering: \r\n\r\n
+		client send $post\r\nhi
+		client wait 1ms
+		client2 send $getTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n
+		client2 expect HTTP/1.1 400
+		client2 expect Connection: close
+		client2 wait closed
+		client3 send $getContent-Length: 70000\r\n\r\n
+		client3 expect HTTP/1.1 413
+		client4 send $get$long\r\n
+		client4 expect HTTP/1.1 431
+		client4 wait closed`,
+}
+
+func TestScenarios(t *testing.T) {
+	words["long"] = `X-Long: ` + strings.Repeat("x", 17<<10)
+	for name, script := range scenarios {
+		t.Run(name, func(t *testing.T) { play(t, testConf(false), config.Operator{}, script) })
+	}
+}
+
+// The counter: calls in a row on one connection, and silence that must not hold up clients.
+func TestCounterScenarios(t *testing.T) {
+	log := play(t, testConf(true), config.Operator{}, `
+		client send $get\r\n
+		counter expect POST /v1/count/u7.
+		counter expect ttl_ms=60000
+		counter send HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1
+		app expect GET
+		app send $ok
+		client expect money
+		client send $get\r\n
+		counter expect POST /v1/count/u7.
+		client wait 60ms
+		app expect GET
+		counter send HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2
+		app send $ok
+		client expect money`)
+	if !strings.Contains(log, `"side":"counter"`) {
+		t.Errorf("no line about the counter's connection:\n%s", log)
+	}
+}
+
+// Each connection that ends leaves one line with its code.
+func TestLogLines(t *testing.T) {
+	log := play(t, testConf(false), config.Operator{}, `
+		client send $get\r\n
+		app expect GET
+		app send $ok
+		client expect money
+		client close
+		client2 send $get\r\n
+		client2 close
+		app wait closed`)
+	for _, want := range []string{`"side":"client","code":"client-closed","waiting":false,"requests":1`,
+		`"side":"client","code":"client-closed","waiting":true`, `"side":"server","code":"attempt-given-up"`} {
+		if strings.Count(log, want) != 1 {
+			t.Errorf("want one line with %s in\n%s", want, log)
+		}
+	}
+}
--- a/front/platform/platform.go
+++ b/front/platform/platform.go
@@ -26,11 +26,12 @@
 	plans    map[string]bool
 	gateways int
 	draining func() bool
+	guard    Guard
 }
 
-// New returns a front for a core with the given settings.
-func New(c *core.Core, set choice.Settings, draining func() bool) *Front {
-	f := &Front{core: c, classes: map[string]choice.Class{}, plans: map[string]bool{},
+// New returns a front for a core with the given settings. The guard may be nil.
+func New(c *core.Core, set choice.Settings, draining func() bool, guard Guard) *Front {
+	f := &Front{core: c, guard: guard, classes: map[string]choice.Class{}, plans: map[string]bool{},
 		gateways: set.Gateways, draining: draining}
 	for _, k := range set.Classes {
 		f.classes[k.Name] = k
@@ -55,6 +56,9 @@
 	}
 	in.Deadline += now
 	in.Reply = func(a core.Answer) { respond(Translate(a)) }
+	if f.guard != nil {
+		return f.throughGuard(r, in, respond)
+	}
 	return f.core.Submit(in).Leave
 }
 
--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -103,6 +103,9 @@
 // Draining reports whether the server is on its way out.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
+// Free is the part of the connections that is free, in percent.
+func (s *Server) Free() int { return 100 - 100*len(s.slots)/cap(s.slots) }
+
 func (s *Server) gone(c *conn) {
 	s.mu.Lock()
 	delete(s.conns, c)
--- a/internal/net/counter/counter.go
+++ b/internal/net/counter/counter.go
@@ -3,6 +3,7 @@
 package counter
 
 import (
+	"context"
 	"errors"
 	"hash/fnv"
 	"io"
@@ -28,6 +29,9 @@
 	restMax  = time.Second
 )
 
+// Dial opens connections, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Client calls a counter. It is a core.Counter.
 type Client struct {
 	lanes [lanes]*lane
@@ -35,10 +39,10 @@
 
 // New returns a client of the counter at an address. Calls that could not be written within the limit are
 // dropped: the core has taken them for timed out.
-func New(addr string, limit time.Duration, log zerolog.Logger) *Client {
+func New(addr string, limit time.Duration, dial Dial, log zerolog.Logger) *Client {
 	c := &Client{}
 	for i := range c.lanes {
-		c.lanes[i] = &lane{addr: addr, limit: limit, log: log}
+		c.lanes[i] = &lane{addr: addr, limit: limit, dial: dial, log: log}
 	}
 	return c
 }
@@ -62,6 +66,7 @@
 type lane struct {
 	addr  string
 	limit time.Duration
+	dial  Dial
 	log   zerolog.Logger
 
 	mu      sync.Mutex
@@ -131,7 +136,9 @@
 
 // connect opens the lane's connection. If it can't, all that is queued has added nothing.
 func (l *lane) connect() *line {
-	nc, err := net.DialTimeout("tcp", l.addr, dialWait)
+	ctx, cancel := context.WithTimeout(context.Background(), dialWait)
+	defer cancel()
+	nc, err := l.dial(ctx, "tcp", l.addr)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -57,10 +57,13 @@
 	return all, nil
 }
 
+// Dial opens connections, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Watch hands the known list to tell, and then all that discovery has to say, until the context ends.
-func Watch(ctx context.Context, addr string, known List, tell func(full bool, list []core.Server),
+func Watch(ctx context.Context, addr string, known List, tell func(full bool, list []core.Server), dial Dial,
 	log zerolog.Logger) {
-	w := &watch{addr: addr, tell: tell, log: log}
+	w := &watch{addr: addr, tell: tell, dial: dial, log: log}
 	if err := w.learn(known, true); err != nil {
 		log.Warn().Str("code", "bad-list").Err(err).Msg("known list of servers")
 	}
@@ -88,6 +91,7 @@
 	addr       string
 	generation int64
 	tell       func(bool, []core.Server)
+	dial       Dial
 	log        zerolog.Logger
 }
 
@@ -123,8 +127,9 @@
 
 // follow opens one watch and reads it to its end.
 func (w *watch) follow(ctx context.Context) (lines int, err error) {
-	d := net.Dialer{Timeout: dialWait}
-	nc, err := d.DialContext(ctx, "tcp", w.addr)
+	dialing, cancel := context.WithTimeout(ctx, dialWait)
+	nc, err := w.dial(dialing, "tcp", w.addr)
+	cancel()
 	if err != nil {
 		return 0, fmt.Errorf("connecting: %w", err)
 	}
--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -28,6 +28,7 @@
 
 // Config is what New needs.
 type Config struct {
+	Dial        func(ctx context.Context, network, addr string) (net.Conn, error)
 	DialTimeout time.Duration
 	KeepAlive   time.Duration // servers close connections that stood idle so long
 	Connections int           // the most to all servers
@@ -155,8 +156,7 @@
 		x.End(core.Result{Code: choice.Refused})
 		return
 	}
-	var d net.Dialer
-	nc, err := d.DialContext(x.ctx, "tcp", x.Server.Addr)
+	nc, err := x.f.Dial(x.ctx, "tcp", x.Server.Addr)
 	if err != nil {
 		<-x.f.slots
 		x.f.Log.Info().Str("side", "server").Str("code", "dial-failed").Str("server", x.Server.Name).
--- /dev/null
+++ b/middleware/ginmw/ginmw.go
@@ -0,0 +1,53 @@
+// Package ginmw is a thin adapter that makes a middleware.Limiter a gin middleware.
+package ginmw
+
+import (
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"dunespoke/middleware"
+)
+
+// New returns a gin middleware: the handlers behind it are the limiter's backend.
+func New(l *middleware.Limiter) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		own := c.Writer
+		done := l.Do(own, c.Request, func(w http.ResponseWriter, r *http.Request) {
+			c.Writer, c.Request = &writer{ResponseWriter: own, to: w}, r
+			c.Next()
+		})
+		<-done // gin reuses its context, so nothing may use it any more
+		c.Writer = own
+		c.Abort() // all that was to run has run, or must not
+	}
+}
+
+// writer is gin's view of the answer that the limiter keeps back.
+type writer struct {
+	gin.ResponseWriter // for what is not overridden here
+	to                 http.ResponseWriter
+	status, size       int
+}
+
+func (w *writer) Header() http.Header { return w.to.Header() }
+func (w *writer) Status() int         { return max(w.status, http.StatusOK) }
+func (w *writer) Size() int           { return w.size }
+func (w *writer) Written() bool       { return w.size > 0 }
+func (w *writer) WriteHeaderNow()     {}
+func (w *writer) Flush()              {}
+
+func (w *writer) WriteHeader(status int) {
+	if status > 0 {
+		w.status = status
+		w.to.WriteHeader(status)
+	}
+}
+
+func (w *writer) Write(p []byte) (int, error) {
+	n, err := w.to.Write(p)
+	w.size += n
+	return n, err
+}
+
+func (w *writer) WriteString(s string) (int, error) { return w.Write([]byte(s)) }
