Wake the core only for timers that still have a purpose

Checked: strace and perf on a running ingress; most calls were nanosleep, futex and epoll_pwait of the Go runtime, several for each wake of the process, few reads and writes. At fault: core/timers.go kept the limits of ended requests, attempts and calls, and woke up for each.

--- a/core/request.go
+++ b/core/request.go
@@ -31,7 +31,7 @@
 	c.lastID++
 	r.id = c.lastID
 	c.requests[r.id] = r
-	c.timers.add(r.Deadline+grace, func() { c.overdue(r) })
+	c.timers.add(r.Deadline+grace, &r.done, func() { c.overdue(r) })
 	c.gate.Request(c.Now(), choice.Request{ID: r.id, Class: r.Class, Plan: r.Plan, Customer: r.Customer,
 		Units: r.Units, Spread: r.Spread, Deadline: r.Deadline})
 }
@@ -124,7 +124,7 @@
 	}
 	at.running = c.upstream.Start(Attempt{Server: server, Timeout: timeout, Payload: r.Payload,
 		End: func(res Result) { c.queue.put(func() { c.end(at, res) }) }})
-	c.timers.add(now+timeout, func() { c.abort(at, choice.TimedOut) })
+	c.timers.add(now+timeout, &at.ended, func() { c.abort(at, choice.TimedOut) })
 }
 
 func (a actions) Cancel(id uint64, number int) {
@@ -147,7 +147,7 @@
 
 func (a actions) Wake(delay time.Duration) {
 	c := a.c
-	c.timers.add(c.Now()+delay, func() { c.gate.Wake(c.Now()) })
+	c.timers.add(c.Now()+delay, nil, func() { c.gate.Wake(c.Now()) })
 }
 
 // Add calls the counter. The core keeps the time: a call that is not answered within the limit ends as timed
@@ -160,7 +160,7 @@
 			c.gate.Counted(c.Now(), name, code, total)
 		}
 	}
-	c.timers.add(c.Now()+c.set.CounterTimeout, func() { end(choice.TimedOut, 0) })
+	c.timers.add(c.Now()+c.set.CounterTimeout, &ended, func() { end(choice.TimedOut, 0) })
 	c.counter.Add(name, amount, keep, func(code choice.Code, total float64) {
 		c.queue.put(func() { end(code, total) })
 	})
--- a/core/timers.go
+++ b/core/timers.go
@@ -5,19 +5,25 @@
 	"time"
 )
 
-// timers are what is to be done later, soonest first. None is taken back: what has become pointless by then
-// does nothing.
+// timers are what is to be done later, soonest first.
 type timers struct{ heap timerHeap }
 
 type timer struct {
-	at  time.Duration
-	act func()
+	at   time.Duration
+	over *bool // set once there is nothing left to do; may be nil
+	act  func()
 }
 
-func (t *timers) add(at time.Duration, act func()) { heap.Push(&t.heap, timer{at, act}) }
+func (t *timers) add(at time.Duration, over *bool, act func()) {
+	heap.Push(&t.heap, timer{at, over, act})
+}
 
-// next tells when the first is due.
+// next tells when the first is due that still has something to do. Guards against waking up for nothing: most
+// requests, attempts and calls end long before their limits, and each wake costs as much as a read.
 func (t *timers) next() (at time.Duration, ok bool) {
+	for len(t.heap) > 0 && t.heap[0].over != nil && *t.heap[0].over {
+		heap.Pop(&t.heap)
+	}
 	if len(t.heap) == 0 {
 		return 0, false
 	}
