Read and write sockets without waking the scheduler's monitor thread

Checked: the runtime's source of the cause: an announced system call wakes the monitor after each idle moment, and it then polls every 20 microseconds. Change: connections of package net are read and written by RawSyscall through SyscallConn; waiting, deadlines and closing stay package net's.

--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -22,6 +22,7 @@
 	"dunespoke/internal/config"
 	"dunespoke/internal/net/accept"
 	"dunespoke/internal/net/counter"
+	"dunespoke/internal/net/direct"
 	"dunespoke/internal/net/discovery"
 	"dunespoke/internal/net/forward"
 )
@@ -42,7 +43,7 @@
 func run(ctx context.Context, getenv func(string) string, log zerolog.Logger) error {
 	work, end := context.WithCancel(context.Background())
 	defer end()
-	p := &program{log: log, listen: net.Listen, dial: (&net.Dialer{}).DialContext, work: work,
+	p := &program{log: log, listen: direct.Listen, dial: direct.Dial, work: work,
 		failed: make(chan error, 4)}
 	var operator config.Operator
 	if path := getenv("DUNESPOKE_OPERATOR"); path != "" {
--- /dev/null
+++ b/internal/net/direct/direct_linux.go
@@ -0,0 +1,139 @@
+// Package direct reads and writes TCP connections by system calls that the Go scheduler is not told of.
+//
+// An ordinary read or write first announces to the scheduler that it may block, which after an idle moment
+// wakes the scheduler's monitor thread; that then polls for as long as the program is busy. At the few dozen
+// requests a second of an ingress the program is idle before nearly every call, and the monitor cost more
+// than the calls. The sockets of package net never block, so there is nothing to announce: a call that would
+// have to wait goes to the network poller as ever. Deadlines and closing are package net's.
+package direct
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"unsafe"
+)
+
+// Conn is a connection read and written directly. One goroutine may read while another writes.
+type Conn struct {
+	net.Conn
+	raw           syscall.RawConn
+	in, out       transfer
+	reads, writes func(fd uintptr) bool // made once, so that calls allocate nothing
+}
+
+// transfer is a read or a write under way.
+type transfer struct {
+	p     []byte
+	done  int
+	errno syscall.Errno
+}
+
+// Wrap makes a connection direct, or returns it as it is where that can't be done.
+func Wrap(c net.Conn) net.Conn {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return c
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return c
+	}
+	d := &Conn{Conn: c, raw: raw}
+	d.reads = func(fd uintptr) bool { return d.in.step(syscall.SYS_READ, fd) }
+	d.writes = func(fd uintptr) bool {
+		for d.out.step(syscall.SYS_WRITE, fd) {
+			if d.out.errno != 0 || d.out.done == len(d.out.p) {
+				return true
+			}
+		}
+		return false
+	}
+	return d
+}
+
+// step makes one call, and reports false if it would have had to wait.
+func (t *transfer) step(call, fd uintptr) bool {
+	rest := t.p[t.done:]
+	for {
+		n, _, errno := syscall.RawSyscall(call, fd, uintptr(unsafe.Pointer(unsafe.SliceData(rest))),
+			uintptr(len(rest)))
+		switch errno {
+		case 0:
+			t.done += int(n)
+			return true
+		case syscall.EINTR:
+		case syscall.EAGAIN:
+			return false
+		default:
+			t.errno = errno
+			return true
+		}
+	}
+}
+
+// Read reads as net.Conn has it.
+func (c *Conn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	c.in = transfer{p: p}
+	err := c.raw.Read(c.reads)
+	n, errno := c.in.done, c.in.errno
+	c.in.p = nil
+	switch {
+	case err != nil:
+		return 0, err
+	case errno != 0:
+		return 0, os.NewSyscallError("read", errno)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// Write writes all of p, as net.Conn has it.
+func (c *Conn) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	c.out = transfer{p: p}
+	err := c.raw.Write(c.writes)
+	n, errno := c.out.done, c.out.errno
+	c.out.p = nil
+	if err == nil && errno != 0 {
+		err = os.NewSyscallError("write", errno)
+	}
+	return n, err
+}
+
+// Listen is net.Listen, for direct connections.
+func Listen(network, addr string) (net.Listener, error) {
+	l, err := net.Listen(network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return listener{l}, nil
+}
+
+type listener struct{ net.Listener }
+
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return Wrap(c), nil
+}
+
+// Dial is that of a net.Dialer, for direct connections.
+func Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return Wrap(c), nil
+}
--- /dev/null
+++ b/internal/net/direct/direct_linux_test.go
@@ -0,0 +1,76 @@
+package direct
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+// pair returns both ends of a direct connection.
+func pair(t *testing.T) (a, b net.Conn) {
+	t.Helper()
+	l, err := Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if a, err = Dial(context.Background(), "tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if b, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		a.Close()
+		b.Close()
+	})
+	if _, ok := a.(*Conn); !ok {
+		t.Fatal("not direct")
+	}
+	return a, b
+}
+
+// More than the sockets' buffers hold must come whole, though both sides have to wait at times.
+func TestAllComesWhole(t *testing.T) {
+	a, b := pair(t)
+	sent := bytes.Repeat([]byte("0123456789abcdef"), 1<<20)
+	go func() {
+		a.Write(sent)
+		a.Close()
+	}()
+	if got, err := io.ReadAll(b); err != nil || !bytes.Equal(got, sent) {
+		t.Fatalf("%d of %d bytes, %v", len(got), len(sent), err)
+	}
+}
+
+func TestEndsAreThoseOfPackageNet(t *testing.T) {
+	a, b := pair(t)
+	a.SetReadDeadline(time.Now().Add(-time.Second))
+	if _, err := a.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("past its deadline a read ends with %v", err)
+	}
+	ended := make(chan error)
+	go func() {
+		_, err := b.Read(make([]byte, 1))
+		ended <- err
+	}()
+	b.Close()
+	if err := <-ended; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("a read of a connection being closed ends with %v", err)
+	}
+	a.SetReadDeadline(time.Time{})
+	if _, err := a.Read(make([]byte, 1)); err == nil {
+		t.Error("a read from a peer that has gone ends well")
+	}
+	for range 100 { // the first may still go into the buffer
+		if _, err := a.Write([]byte("x")); err != nil {
+			return
+		}
+	}
+	t.Error("writes to a peer that has gone end well")
+}
