--- a/middleware/ginmw/ginmw.go
+++ b/middleware/ginmw/ginmw.go
@@ -14,8 +14,10 @@
 	return func(c *gin.Context) {
 		own := c.Writer
 		done := l.Do(own, c.Request, func(w http.ResponseWriter, r *http.Request) {
-			c.Writer, c.Request = &writer{ResponseWriter: own, to: w}, r
+			kept := &writer{ResponseWriter: own, to: w}
+			c.Writer, c.Request = kept, r
 			c.Next()
+			kept.WriteHeaderNow()
 		})
 		<-done // gin reuses its context, so nothing may use it any more
 		c.Writer = own
@@ -27,24 +29,25 @@
 type writer struct {
 	gin.ResponseWriter // for what is not overridden here
 	to                 http.ResponseWriter
-	status, size       int
+	status, size       int // a status may be set anew until the first byte is written, as gin has it
 }
 
 func (w *writer) Header() http.Header { return w.to.Header() }
 func (w *writer) Status() int         { return max(w.status, http.StatusOK) }
 func (w *writer) Size() int           { return w.size }
 func (w *writer) Written() bool       { return w.size > 0 }
-func (w *writer) WriteHeaderNow()     {}
 func (w *writer) Flush()              {}
 
 func (w *writer) WriteHeader(status int) {
 	if status > 0 {
 		w.status = status
-		w.to.WriteHeader(status)
 	}
 }
 
+func (w *writer) WriteHeaderNow() { w.to.WriteHeader(w.Status()) }
+
 func (w *writer) Write(p []byte) (int, error) {
+	w.WriteHeaderNow()
 	n, err := w.to.Write(p)
 	w.size += n
 	return n, err
