Show that many questions to a silent service each get one answer in time

Also: names of servers that are gone are forgotten by the core and the pools, and the agent check is tested through the wiring.

--- a/cmd/dunespoke/introspect_test.go
+++ b/cmd/dunespoke/introspect_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -127,6 +128,26 @@
 	}
 }
 
+// However many ask while the service is silent for 10 s, each gets one answer within its patience of 3 s, and
+// none is told that its token is not active.
+func TestManyAskASilentService(t *testing.T) {
+	var script strings.Builder
+	each := func(step string) {
+		for i := range 40 {
+			fmt.Fprintf(&script, "client%d %s\n", i, step)
+		}
+	}
+	each("send $basic")
+	script.WriteString("client0 wait 2.99s\n")
+	each("wait something")
+	each("expect HTTP/1.1 429")
+	each("expect Retry-After")
+	each(`expect later"}`)
+	script.WriteString("client0 wait 10s\n")
+	each("wait nothing")
+	play(t, nil, testOperator(""), script.String())
+}
+
 // scenarios of requests that must show a bearer token.
 var checks = map[string]string{
 	"a retried check sends the withdrawal once": strings.Repeat(`
--- a/cmd/dunespoke/scenario_test.go
+++ b/cmd/dunespoke/scenario_test.go
@@ -260,6 +260,20 @@
 	}
 }
 
+// Balancers are told by agent-check lines, if the operator's file says so.
+func TestAgentCheck(t *testing.T) {
+	conf := testConf(false)
+	conf.Listen = "front"
+	play(t, conf, config.Operator{Agent: config.Agent{Listen: "ingress"}}, `
+		client1 expect ready up 100%\n
+		client1 wait closed
+		discovery expect since=4
+		discovery send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+		discovery send 31\r\n{"generation":5,"reset":true,"instances":[]    }\n\r\n
+		client2 expect down\n
+		client2 wait closed`)
+}
+
 // Each connection that ends leaves one line with its code.
 func TestLogLines(t *testing.T) {
 	log := play(t, testConf(false), config.Operator{}, `
--- a/core/core.go
+++ b/core/core.go
@@ -121,12 +121,13 @@
 	ready atomic.Bool
 
 	// Owned by the goroutine of Run.
-	timers   timers
-	after    []func() // what follows from the actions of the event at hand
-	lastID   uint64
-	requests map[uint64]*request
-	ids      map[string]uint64
-	servers  map[uint64]Server
+	timers     timers
+	after      []func() // what follows from the actions of the event at hand
+	lastID     uint64
+	requests   map[uint64]*request
+	lastServer uint64
+	ids        map[string]uint64 // of servers, by name
+	servers    map[uint64]Server
 }
 
 // New returns a core, to be set going by Run.
@@ -233,15 +234,17 @@
 			if s.State != choice.Live {
 				continue
 			}
-			id = uint64(len(c.ids) + 1)
+			c.lastServer++
+			id = c.lastServer
 			c.ids[s.Name] = id
 		}
 		named[id] = true
 		if old, ok := c.servers[id]; ok && (s.State != choice.Live || old.Addr != s.Addr) {
 			c.upstream.Drop(old)
 		}
-		if s.State == choice.Gone {
+		if s.State == choice.Gone { // forgotten, or a fleet that comes and goes would fill the memory
 			delete(c.servers, id)
+			delete(c.ids, s.Name)
 		} else {
 			c.servers[id] = s
 		}
@@ -253,6 +256,7 @@
 		if full && !named[id] {
 			c.upstream.Drop(s)
 			delete(c.servers, id)
+			delete(c.ids, s.Name)
 			continue
 		}
 		live = live || s.State == choice.Live
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -172,9 +172,12 @@
 		}
 		b.Servers(true, nil) // the server list anew, without it
 		synctest.Wait()
-		if len(b.servers) > 0 {
+		if len(b.servers) > 0 || len(b.ids) > 0 {
 			t.Error("a server that the whole list leaves out is still known")
 		}
+		b.Servers(false, []Server{{Name: "s", State: choice.Live}})
+		b.ask("read", time.Second)
+		b.want(t, 1, "1 <nil>")
 	})
 }
 
--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -117,6 +117,9 @@
 	for i, other := range pool {
 		if other == c {
 			f.idle[c.addr] = append(pool[:i], pool[i+1:]...)
+			if len(pool) == 1 { // addresses come and go with the fleet
+				delete(f.idle, c.addr)
+			}
 			return true
 		}
 	}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -5,6 +5,7 @@
 //	PARTY close            closes the party's connection
 //	PARTY wait closed      waits until the other side has closed
 //	PARTY wait nothing     what has come so far has all been expected
+//	PARTY wait something   something has come already that has not been expected
 //	PARTY wait 1.5s        lets time pass
 //
 // A party whose name begins with "client" connects to the address "ingress" at its first step. Any other
@@ -147,7 +148,7 @@
 			return "a connection has come"
 		}
 		return ""
-	case verb == "wait" && text != "closed" && text != "nothing":
+	case verb == "wait" && text != "closed" && text != "nothing" && text != "something":
 		d, err := time.ParseDuration(text)
 		if err != nil {
 			return err.Error()
@@ -187,8 +188,8 @@
 		synctest.Wait()
 		x.mu.Lock()
 		defer x.mu.Unlock()
-		if len(x.came) > 0 {
-			return "more has come: " + strconv.Quote(string(x.came))
+		if (len(x.came) > 0) != (text == "something") {
+			return "what has come: " + strconv.Quote(string(x.came))
 		}
 	default:
 		return "unknown verb"
