--- a/cmd/dunespoke/scenario_test.go
+++ b/cmd/dunespoke/scenario_test.go
@@ -44,17 +44,8 @@
 	n.Service.Servers, n.Service.Path = []string{"idp"}, "/ask"
 	n.Service.KeepAlive = config.Duration(10 * time.Second)
 	n.Service.ClientID, n.Service.Secret = "dunespoke", "s3cret"
-	n.Plans = append(n.Plans, struct {
-		Name  string  `toml:"name"`
-		Rate  float64 `toml:"rate"`
-		Burst float64 `toml:"burst"`
-	}{"few", 0.1, 12})
-	n.Clients = append(n.Clients, struct {
-		ID           string            `toml:"id"`
-		SecretSHA256 string            `toml:"secret_sha256"`
-		Plan         string            `toml:"plan"`
-		Secret       [sha256.Size]byte `toml:"-"`
-	}{ID: "a", Plan: "few", Secret: sha256.Sum256([]byte("b"))})
+	n.Plans = []config.Plan{{Name: "few", Rate: 0.1, Burst: 12}}
+	n.Clients = []config.Client{{ID: "a", Plan: "few", Secret: sha256.Sum256([]byte("b"))}}
 	if bearer != "" {
 		n.Listen, n.Bearer.Plan = "", bearer
 	}
--- a/front/introspect/introspect.go
+++ b/front/introspect/introspect.go
@@ -20,7 +20,6 @@
 
 	"dunespoke/core"
 	"dunespoke/internal/http1"
-	"dunespoke/internal/net/accept"
 )
 
 var errNoActive = errors.New(`the answer has no "active"`)
@@ -77,16 +76,16 @@
 	switch {
 	case r.URL.Path == "/healthz":
 		if f.Core.Ready() && !f.Draining() {
-			respond(accept.Plain(200, "ok"))
+			respond(http1.Plain(200, "ok"))
 		} else {
-			respond(accept.Plain(503, "draining, or no introspection service known"))
+			respond(http1.Plain(503, "draining, or no introspection service known"))
 		}
 		return nil
 	case r.URL.Path != f.Path:
-		respond(accept.Plain(404, "no such path"))
+		respond(http1.Plain(404, "no such path"))
 		return nil
 	case r.Method != http.MethodPost:
-		respond(withHeader(accept.Plain(405, "method not allowed"), "Allow", "POST"))
+		respond(withHeader(http1.Plain(405, "method not allowed"), "Allow", "POST"))
 		return nil
 	}
 	form, problem := readForm(r)
--- a/front/platform/platform.go
+++ b/front/platform/platform.go
@@ -12,7 +12,6 @@
 	"dunespoke/choice"
 	"dunespoke/core"
 	"dunespoke/internal/http1"
-	"dunespoke/internal/net/accept"
 )
 
 // margin is how long before the client gives up its answer is due. The way from an answer to the client took
@@ -68,11 +67,11 @@
 	case r.Method != http.MethodGet:
 		return notAllowed("GET")
 	case f.draining():
-		return accept.Plain(503, "draining")
+		return http1.Plain(503, "draining")
 	case !f.core.Ready():
-		return accept.Plain(503, "no app server known")
+		return http1.Plain(503, "no app server known")
 	}
-	return accept.Plain(200, "ok")
+	return http1.Plain(200, "ok")
 }
 
 // Translate words a final answer.
@@ -81,29 +80,29 @@
 	case core.Served:
 		return a.Body.(*http1.Answer)
 	case core.Refused:
-		answer := accept.Plain(429, "refused")
+		answer := http1.Plain(429, "refused")
 		if a.RetryAfter > 0 {
 			seconds := strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)
 			answer.Header = append(answer.Header, [2]string{"Retry-After", seconds})
 		}
 		return answer
 	}
-	return accept.Plain(502, "failed")
+	return http1.Plain(502, "failed")
 }
 
 func notAllowed(methods string) *http1.Answer {
-	a := accept.Plain(405, "method not allowed")
+	a := http1.Plain(405, "method not allowed")
 	a.Header = append(a.Header, [2]string{"Allow", methods})
 	return a
 }
 
 // read checks a message and makes the core's request of it, with its deadline counted from the arrival.
 func (f *Front) read(r *http1.Request) (core.Request, *http1.Answer) {
-	bad := func(what string) (core.Request, *http1.Answer) { return core.Request{}, accept.Plain(400, what) }
+	bad := func(what string) (core.Request, *http1.Answer) { return core.Request{}, http1.Plain(400, what) }
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	class, known := f.classes[name]
 	if !known || !strings.HasPrefix(r.RequestURI, "/") {
-		return core.Request{}, accept.Plain(404, "no such path")
+		return core.Request{}, http1.Plain(404, "no such path")
 	}
 	method := http.MethodPost
 	if class.Repeat == choice.Safe {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -42,22 +42,28 @@
 		KeepAlive Duration `toml:"keep_alive"`
 		Secret    string   `toml:"-"`
 	} `toml:"service"`
-	Clients []struct {
-		ID           string            `toml:"id"`
-		SecretSHA256 string            `toml:"secret_sha256"`
-		Plan         string            `toml:"plan"`
-		Secret       [sha256.Size]byte `toml:"-"`
-	} `toml:"client"`
-	Plans []struct {
-		Name  string  `toml:"name"`
-		Rate  float64 `toml:"rate"`
-		Burst float64 `toml:"burst"`
-	} `toml:"plan"`
-	Bearer struct {
+	Clients []Client `toml:"client"`
+	Plans   []Plan   `toml:"plan"`
+	Bearer  struct {
 		Plan string `toml:"plan"`
 	} `toml:"bearer"`
 }
 
+// Client may ask about tokens.
+type Client struct {
+	ID           string            `toml:"id"`
+	SecretSHA256 string            `toml:"secret_sha256"` // of its secret, in hex
+	Plan         string            `toml:"plan"`
+	Secret       [sha256.Size]byte `toml:"-"`
+}
+
+// Plan is a quota for each client, or for each customer whose bearer tokens are checked.
+type Plan struct {
+	Name  string  `toml:"name"`
+	Rate  float64 `toml:"rate"`  // questions a second
+	Burst float64 `toml:"burst"` // questions at once
+}
+
 // Duration is a time.Duration written as in "1.5s".
 type Duration time.Duration
 
--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -35,8 +35,8 @@
 	need     int // bytes of the whole message, with formLength
 	body     int // bytes of chunked data so far
 	chunks   Chunks
-	ready    int // bytes of the message handed out last
-	headOnly bool
+	ready    int  // bytes of the message handed out last
+	asked    bool // WantsContinue was answered
 	err      error
 }
 
@@ -65,10 +65,10 @@
 
 // WantsContinue reports, once for a request, that its head has come and asks whether to send its body.
 func (f *Framer) WantsContinue() bool {
-	if f.response || f.head == 0 || f.headOnly || len(f.buf) > f.head {
+	if f.response || f.head == 0 || f.asked || len(f.buf) > f.head {
 		return false
 	}
-	f.headOnly = true
+	f.asked = true
 	return bytes.Contains(bytes.ToLower(f.buf[:f.head]), []byte("\nexpect: 100-continue\r\n"))
 }
 
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -85,6 +86,22 @@
 	Body   []byte
 }
 
+// Problem is the answer to a request that can't be read.
+func Problem(err error) *Answer {
+	status, text := 400, "malformed"
+	var e *Error
+	if errors.As(err, &e) {
+		status, text = e.Status, e.Reason
+	}
+	return Plain(status, text)
+}
+
+// Plain is an answer of one line of text.
+func Plain(status int, text string) *Answer {
+	return &Answer{Status: status, Header: [][2]string{{"Content-Type", "text/plain; charset=utf-8"}},
+		Body: []byte(text + "\n")}
+}
+
 // Append writes the answer's bytes behind buf. With last, it says that the connection closes after it.
 func (a *Answer) Append(buf []byte, last bool) []byte {
 	buf = append(buf, "HTTP/1.1 "...)
--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -233,29 +233,13 @@
 	c.count++
 	if err != nil {
 		c.last = true
-		go c.respond(Problem(err))
+		go c.respond(http1.Problem(err))
 		return
 	}
 	c.last = r.Close || !r.ProtoAtLeast(1, 1)
 	c.leave = c.s.handler.Serve(r, func(a *http1.Answer) { go c.respond(a) })
 }
 
-// Problem is the answer to a request that can't be read.
-func Problem(err error) *http1.Answer {
-	status, text := 400, "malformed"
-	var e *http1.Error
-	if errors.As(err, &e) {
-		status, text = e.Status, e.Reason
-	}
-	return Plain(status, text)
-}
-
-// Plain is an answer of one line of text.
-func Plain(status int, text string) *http1.Answer {
-	return &http1.Answer{Status: status, Header: [][2]string{{"Content-Type", "text/plain; charset=utf-8"}},
-		Body: []byte(text + "\n")}
-}
-
 // respond writes an answer, and goes on to what the client sent meanwhile.
 func (c *conn) respond(a *http1.Answer) {
 	c.mu.Lock()
--- a/internal/net/accept/accept_test.go
+++ b/internal/net/accept/accept_test.go
@@ -22,7 +22,7 @@
 
 func (h *held) Serve(r *http1.Request, respond func(*http1.Answer)) func() {
 	if r.URL.Path == "/now" {
-		respond(Plain(200, "at once"))
+		respond(http1.Plain(200, "at once"))
 		return nil
 	}
 	h.mu.Lock()
@@ -35,7 +35,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, respond := range h.waiting {
-		respond(Plain(200, "done"))
+		respond(http1.Plain(200, "done"))
 	}
 	h.waiting = nil
 }
