Close a server's connection when it sends more than its answer

Seen by reading: bytes beyond an answer stayed in the connection's framer, and the connection went back to the pool, so that the next request on it, of another customer, would have been answered with them (forward.go, conn.answer). The new scenario fails without the change: the second request then goes by the same connection.

--- a/cmd/dunespoke/scenario_test.go
+++ b/cmd/dunespoke/scenario_test.go
@@ -137,6 +137,15 @@
 		app2 expect GET
 		app2 send $ok
 		client expect money`,
+	"what a server sends beyond its answer is nobody's answer": `
+		client send $get\r\n
+		app expect GET
+		app send $okHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong
+		client expect money
+		client send $get\r\n
+		app2 expect GET
+		app2 send $ok
+		client expect money`,
 	"a cut answer is a reset, and not passed on": `
 		client send $post\r\nhi
 		app expect hi
--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -291,6 +291,7 @@
 	if err == nil && msg != nil {
 		r, err = c.parser.Response(msg)
 	}
+	beyond := c.frames.Buffered() > 0
 	c.mu.Unlock()
 	switch {
 	case err != nil:
@@ -303,6 +304,10 @@
 		return true
 	}
 	result := c.f.Judge(r)
+	if beyond { // guards the next request against being answered with what came for nobody
+		c.finish(result, "unasked-bytes")
+		return false
+	}
 	if r.Close || readErr != nil || !r.ProtoAtLeast(1, 1) {
 		c.finish(result, "server-closed")
 		return false
