--- /dev/null
+++ b/front/platform/platform_test.go
@@ -0,0 +1,98 @@
+package platform
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"dunespoke/choice"
+	"dunespoke/core"
+	"dunespoke/internal/http1"
+)
+
+func front(t testing.TB) *Front {
+	t.Helper()
+	set := choice.Settings{Gateways: 1, MaxAttempts: 1, QueueField: -1,
+		Classes: []choice.Class{
+			{Name: "enquiry", Repeat: choice.Safe, Aim: time.Second, Deadline: time.Second},
+			{Name: "transfer", Repeat: choice.Keyed, Aim: time.Second, Deadline: time.Second}},
+		Plans: []choice.Plan{{Name: "basic"}}}
+	c, err := core.New(core.Config{Settings: set})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(c, set, func() bool { return false }, nil)
+}
+
+const (
+	target = "/transfer?account=0000000000000007&x=%0d%0a"
+	good   = "POST " + target + " HTTP/1.1\r\nHost: h\r\nX-Lane: transfer\r\nX-Contract: basic\r\n" +
+		"X-Txn: 00000000000000aa\r\nX-Remaining: 1.5\r\nIdempotency-Key: k\r\n" +
+		"X-Metering: units=2,spread=3,first=1\r\nContent-Length: 2\r\n\r\nhi"
+)
+
+func TestReadTakesWhatTheMessageSays(t *testing.T) {
+	r, err := new(http1.Parser).Request([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	in, problem := front(t).read(r)
+	if problem != nil || in.Class != "transfer" || in.Plan != "basic" || in.Customer != 7 || in.Units != 2 ||
+		in.Spread != 3 || in.Deadline != 1500*time.Millisecond-margin {
+		t.Fatalf("%+v, %+v", in, problem)
+	}
+}
+
+func TestWhatIsMissingOrOddIsRefused(t *testing.T) {
+	f := front(t)
+	for _, change := range [][2]string{{"X-Lane: transfer", "X-Lane: enquiry"}, {"basic", "nosuch"},
+		{"00aa", "00ag"}, {"X-Txn", "X-Other"}, {"1.5", "-1"}, {"1.5", "NaN"}, {"1.5", "1e9"},
+		{"Idempotency-Key: k", "A: b"}, {"units=2,", ""}, {"spread=3", "spread=0"}, {"first=1", "first=x"},
+		{"account=00", "account="}, {"account=00", "account=zz"}, {"%0d%0a", "%zz"}} {
+		r, err := new(http1.Parser).Request([]byte(strings.Replace(good, change[0], change[1], 1)))
+		if err != nil {
+			continue // refused before it came here
+		}
+		if _, problem := f.read(r); problem == nil || problem.Status != 400 {
+			t.Errorf("%q for %q: %+v", change[1], change[0], problem)
+		}
+	}
+}
+
+// Whatever a client sends, what goes to an app server is one message, with the client's method, target, ids
+// and body, and nothing that the client slipped in beside them.
+func FuzzWhatPassesOn(f *testing.F) {
+	f.Add(good)
+	f.Add(strings.Replace(good, "Content-Length: 2", "Transfer-Encoding: chunked", 1) + "\r\n0\r\n\r\n")
+	f.Add("GET /enquiry?account=0000000000000007 HTTP/1.1\r\nX-Lane: enquiry\r\nX-Contract: basic\r\n" +
+		"X-Txn: 00000000000000aa\r\nX-Remaining: 1\r\nX-Metering: units=1,spread=1,first=0\r\n\r\n")
+	fr := front(f)
+	f.Fuzz(func(t *testing.T, text string) {
+		frames := http1.NewRequests(http1.DefaultLimits)
+		frames.Feed([]byte(text))
+		msg, err := frames.Next()
+		if err != nil || msg == nil {
+			return
+		}
+		r, err := new(http1.Parser).Request(msg)
+		if err != nil {
+			return
+		}
+		in, problem := fr.read(r)
+		if problem != nil {
+			return
+		}
+		out := in.Payload.(*message).Append(nil, core.Server{}, time.Second)
+		frames = http1.NewRequests(http1.DefaultLimits)
+		frames.Feed(out)
+		msg, err = frames.Next()
+		if err != nil || len(msg) != len(out) {
+			t.Fatalf("%q is not one message: %v", out, err)
+		}
+		again, err := new(http1.Parser).Request(msg)
+		if err != nil || again.Method != r.Method || again.RequestURI != r.RequestURI ||
+			again.Header.Get("X-Txn") != r.Header.Get("X-Txn") || string(again.Content) != string(r.Content) {
+			t.Fatalf("%q became %q, %v", text, out, err)
+		}
+	})
+}
