Let the longest idle client connection make room at the limit

Seen by reading: at the limit on connections the program stopped accepting, but the machine's kernel goes on, and by the protocol a request written to such a connection counts as taken (accept.go, Serve). Now a connection is accepted first, and one that is idle is closed for it; only if all are busy do clients wait.

--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -57,10 +57,8 @@
 // Serve takes connections until Drain has closed the listener.
 func (s *Server) Serve() error {
 	for {
-		s.slots <- struct{}{} // at the limit, clients wait to be accepted
 		nc, err := s.listener.Accept()
 		if err != nil {
-			<-s.slots
 			switch {
 			case s.closed.Load():
 				return nil
@@ -72,17 +70,52 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		c := &conn{s: s, nc: nc, frames: http1.NewRequests(http1.DefaultLimits), since: time.Now()}
+		s.claim()
+		now := time.Now()
+		c := &conn{s: s, nc: nc, frames: http1.NewRequests(http1.DefaultLimits), since: now, used: now}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
 		go c.read()
 		if s.closed.Load() { // it came while the listener was being closed, after Drain counted
-			c.closeIdle()
+			c.closeIdle("drained")
 		}
 	}
 }
 
+// claim takes a slot for one more connection. At the limit the one that has been idle longest makes room; if
+// none is idle, clients wait. Guards against connections that nobody uses keeping out requests,
+// which count as taken from the moment that the machine, not this program, has accepted them.
+func (s *Server) claim() {
+	select {
+	case s.slots <- struct{}{}:
+		return
+	default:
+	}
+	var oldest *conn
+	var since time.Time
+	for _, c := range s.all() {
+		if from, idle := c.idleSince(); idle && (oldest == nil || from.Before(since)) {
+			oldest, since = c, from
+		}
+	}
+	if oldest != nil {
+		oldest.closeIdle("made-room")
+	}
+	s.slots <- struct{}{}
+}
+
+// all returns the connections there are.
+func (s *Server) all() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	return all
+}
+
 // Drain ends service in the order a planned restart wants: connections are still taken for a while, every
 // answer from now on closes its connection, then idle connections are closed, and it returns when all that
 // was taken is answered.
@@ -91,15 +124,9 @@
 	time.Sleep(drainAccept)
 	s.closed.Store(true)
 	s.listener.Close()
-	s.mu.Lock()
-	all := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		all = append(all, c)
-	}
-	s.mu.Unlock()
 	s.over()
-	for _, c := range all {
-		c.closeIdle()
+	for _, c := range s.all() {
+		c.closeIdle("drained")
 	}
 	<-s.empty
 }
@@ -144,6 +171,7 @@
 	out    []byte
 	ended  bool
 	count  int
+	used   time.Time // when the last answer was written, or the connection taken
 }
 
 // Buffered input beyond which a client that sends on while it waits is cut off: one whole request.
@@ -256,7 +284,7 @@
 	_, err := c.nc.Write(c.out)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy, c.leave = false, nil
+	c.busy, c.leave, c.used = false, nil, time.Now()
 	if cap(c.out) > 16<<10 { // memory is short, and most answers are
 		c.out = nil
 	}
@@ -271,11 +299,18 @@
 	}
 }
 
-func (c *conn) closeIdle() {
+// idleSince tells since when nothing has been asked on the connection.
+func (c *conn) idleSince() (since time.Time, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used, !c.ended && !c.busy && !c.frames.Started()
+}
+
+func (c *conn) closeIdle(code string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.busy && !c.frames.Started() {
-		c.end("drained")
+		c.end(code)
 	}
 }
 
