--- a/cmd/dunespoke/scenario_test.go
+++ b/cmd/dunespoke/scenario_test.go
@@ -5,8 +5,11 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
+	"errors"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,13 +69,15 @@
 
 // play runs a program in a bubble, with all its parties on a network in memory, and a script against it. It
 // returns the program's log.
-func play(t *testing.T, conf *config.Platform, o config.Operator, script string) string {
+// A hook may act on the program before the script begins.
+func play(t *testing.T, conf *config.Platform, o config.Operator, script string,
+	hooks ...func(*program)) string {
 	t.Helper()
 	var log safeBuffer
 	synctest.Test(t, func(t *testing.T) {
 		n := scenario.NewNet()
 		ctx, end := context.WithCancel(t.Context())
-		for _, addr := range []string{"app", "counter", "discovery", "idp"} {
+		for _, addr := range []string{"app", "counter", "discovery", "idp", "newcounter", "newdiscovery"} {
 			n.Listen("memory", addr)
 		}
 		p := &program{log: zerolog.New(&log), listen: n.Listen, dial: n.Dial, work: ctx,
@@ -81,6 +86,9 @@
 			t.Fatal(err)
 		}
 		time.Sleep(time.Second)
+		for _, hook := range hooks {
+			hook(p)
+		}
 		scenario.Play(t, n, words, script)
 		p.drain()
 		end()
@@ -294,3 +302,55 @@
 		}
 	}
 }
+
+// A new configuration moves the watch and the calls to the counter to other addresses. A request under way,
+// the client's connection, the server's and the quota's state go on; the servers that the new list still
+// names too.
+func TestReload(t *testing.T) {
+	moved := *testConf(true)
+	moved.Discovery, moved.Counter = "newdiscovery", "newcounter"
+	log := play(t, testConf(true), config.Operator{}, `
+		client send $get\r\n
+		counter expect POST /v1/count/u7.
+		counter send HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1
+		app expect GET
+		discovery expect since=4
+		client wait 1s
+		discovery wait closed
+		counter wait closed
+		newdiscovery expect GET /v1/servers HTTP/1.1
+		newdiscovery send HTTP/1.1 200 OK\r\nContent-Length: 123\r\n\r\n{"generation":2,"reset":true,"instances":[
+		newdiscovery send {"instanceId":"s-1","hostPort":"app","zone":"a","lifecycle":"Ready","weight":1}]}
+		newdiscovery expect GET /v1/servers?follow=1&since=2
+		app send $ok
+		client expect money
+		client send $get\r\n
+		newcounter expect POST /v1/count/u7.
+		newcounter send HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2
+		app expect GET
+		app send $ok
+		client expect money
+		discovery2 wait nothing
+		counter2 wait nothing`, func(p *program) {
+		time.AfterFunc(500*time.Millisecond, func() {
+			p.reload(nil, errors.New("a bad file"))
+			p.reload(&moved, nil)
+			p.reload(&moved, nil)
+		})
+	})
+	for want, times := range map[string]int{"reload-failed": 1, `"code":"reloaded"`: 2, "watch-left": 2,
+		"counter-moved": 1, "reload-needs-restart": 0} {
+		if strings.Count(log, want) != times {
+			t.Errorf("want %d lines with %s in\n%s", times, want, log)
+		}
+	}
+}
+
+// Unheeded, this signal ends the program.
+func TestHangupsAreHeeded(t *testing.T) {
+	all := hangups()
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	<-all
+}
--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -37,10 +38,18 @@
 	cores   []*core.Core
 	failed  chan error
 	stops   atomic.Bool // told to stop
+
+	conf     *config.Platform // as last read; nil without the platform
+	watcher  *discovery.Watcher
+	counters []mover // of the platform's counter
 }
 
-// run serves until the context ends and what was taken is answered.
-func run(ctx context.Context, getenv func(string) string, log zerolog.Logger) error {
+// mover is what goes by an address that a new configuration may change.
+type mover interface{ Move(addr string) }
+
+// run serves until the context ends and what was taken is answered. On each reload it reads the platform's
+// configuration again.
+func run(ctx context.Context, reload <-chan os.Signal, getenv func(string) string, log zerolog.Logger) error {
 	work, end := context.WithCancel(context.Background())
 	defer end()
 	p := &program{log: log, listen: direct.Listen, dial: direct.Dial, work: work,
@@ -64,10 +73,14 @@
 	if err := p.start(conf, operator); err != nil {
 		return err
 	}
-	select {
-	case err := <-p.failed:
-		return err
-	case <-ctx.Done():
+	for ctx.Err() == nil {
+		select {
+		case err := <-p.failed:
+			return err
+		case <-reload:
+			p.reload(config.ReadPlatform(getenv))
+		case <-ctx.Done():
+		}
 	}
 	p.log.Info().Str("code", "draining").Msg("told to stop")
 	p.drain()
@@ -75,8 +88,35 @@
 	return nil
 }
 
+// reload takes the platform's configuration as read again, or the error of that, and goes on at the addresses
+// of discovery and the counter that it names. A file that can't be used changes nothing. All that is kept or
+// under way stays as it is.
+func (p *program) reload(conf *config.Platform, err error) {
+	if p.conf == nil {
+		p.log.Warn().Str("code", "reload-failed").Msg("there is no platform's configuration to read")
+		return
+	}
+	if err != nil {
+		p.log.Warn().Str("code", "reload-failed").Err(err).Msg("the configuration stays as it was")
+		return
+	}
+	if kept := p.conf.Kept(conf); len(kept) > 0 {
+		p.log.Warn().Str("code", "reload-needs-restart").Strs("settings", kept).Msg("changed, and not taken")
+	}
+	p.conf.Discovery, p.conf.Counter = conf.Discovery, conf.Counter
+	p.watcher.Move(conf.Discovery)
+	for _, c := range p.counters {
+		if conf.Counter != "" {
+			c.Move(conf.Counter)
+		}
+	}
+	p.log.Info().Str("code", "reloaded").Str("discovery", conf.Discovery).Str("counter", conf.Counter).
+		Msg("configuration read again")
+}
+
 // start sets all parts going.
 func (p *program) start(conf *config.Platform, operator config.Operator) error {
+	p.conf = conf
 	var limits config.Limits
 	if conf != nil {
 		limits = conf.Limits
@@ -115,7 +155,8 @@
 	if err != nil {
 		return err
 	}
-	go discovery.Watch(p.work, conf.Discovery, known, c.Servers, p.dial, p.log)
+	p.watcher = discovery.NewWatcher(conf.Discovery, c.Servers, p.dial, p.log)
+	go p.watcher.Run(p.work, known)
 	return p.serve(conf.Listen, platform.New(c, conf.Settings, p.draining, guard), share.clients)
 }
 
@@ -160,7 +201,11 @@
 	error) {
 	var count core.Counter
 	if quota != "" {
-		count = counter.New(quota, set.CounterTimeout, p.dial, p.log)
+		client := counter.New(quota, set.CounterTimeout, p.dial, p.log)
+		if p.conf != nil && quota == p.conf.Counter {
+			p.counters = append(p.counters, client)
+		}
+		count = client
 	}
 	up.Dial, up.Log = p.dial, p.log
 	c, err := core.New(core.Config{Settings: set, Seed: seed, Upstream: forward.New(up), Counter: count,
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -63,6 +65,24 @@
 	return p, nil
 }
 
+// Kept names what a newer configuration says otherwise and only a restart would take.
+func (p *Platform) Kept(newer *Platform) []string {
+	var kept []string
+	if newer.Name != p.Name {
+		kept = append(kept, "name")
+	}
+	if newer.Listen != p.Listen {
+		kept = append(kept, "listen")
+	}
+	if newer.Limits != p.Limits {
+		kept = append(kept, "limits")
+	}
+	if !reflect.DeepEqual(newer.Settings, p.Settings) || newer.KeepAlive != p.KeepAlive {
+		kept = append(kept, "settings")
+	}
+	return kept
+}
+
 func decodePlatform(text []byte, getenv func(string) string) (*Platform, error) {
 	p := &Platform{}
 	if err := json.Unmarshal(text, p); err != nil {
@@ -86,6 +106,11 @@
 	case p.Limits.MemoryMB < 0 || p.Limits.Cores < 0:
 		return nil, errors.New("limits: figures must not be negative")
 	}
+	for key, addr := range map[string]string{"discovery": p.Discovery, "counter": p.Counter} {
+		if _, _, err := net.SplitHostPort(addr); err != nil && addr != "" {
+			return nil, fmt.Errorf("%s: %w", key, err)
+		}
+	}
 	var err error
 	if p.Settings, err = DecodeSettings(p.Raw); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
--- a/internal/http1/stream.go
+++ b/internal/http1/stream.go
@@ -14,7 +14,8 @@
 	line   []byte
 }
 
-const longestObject = 4 << 20 // a list of tens of thousands of servers
+// LongestObject is the most bytes of a list: tens of thousands of servers.
+const LongestObject = 4 << 20
 
 // Feed takes bytes as they came and hands each whole line to line, empty ones too. It reports done once the
 // response has ended.
@@ -43,7 +44,7 @@
 	for err == nil {
 		end := bytes.IndexByte(s.line, '\n')
 		if end < 0 {
-			if len(s.line) > longestObject {
+			if len(s.line) > LongestObject {
 				err = bad(502, "line-too-long")
 			}
 			break
--- a/internal/net/counter/counter.go
+++ b/internal/net/counter/counter.go
@@ -54,6 +54,24 @@
 	c.lanes[h.Sum32()%lanes].add(&call{name: name, amount: amount, keep: keep, done: done, at: time.Now()})
 }
 
+// Move has later calls go to another address. What is out at the old one has until its answer is due; then,
+// or when all is answered, its connections are closed.
+func (c *Client) Move(addr string) {
+	for _, l := range c.lanes {
+		l.mu.Lock()
+		if l.addr == addr {
+			l.mu.Unlock()
+			continue
+		}
+		old := l.line
+		l.addr, l.line, l.rest, l.restTo = addr, nil, 0, time.Time{}
+		l.mu.Unlock()
+		if old != nil {
+			old.leave()
+		}
+	}
+}
+
 type call struct {
 	name   string
 	amount float64
@@ -80,11 +98,13 @@
 // line is one life of a lane's connection.
 type line struct {
 	lane  *lane
+	addr  string
 	nc    net.Conn
 	since time.Time
 
 	mu      sync.Mutex
 	pending []*call // written, in the order of their answers
+	left    bool    // it is closed once they have come
 	ended   bool
 	count   int
 }
@@ -136,11 +156,27 @@
 
 // connect opens the lane's connection. If it can't, all that is queued has added nothing.
 func (l *lane) connect() *line {
-	ctx, cancel := context.WithTimeout(context.Background(), dialWait)
-	defer cancel()
-	nc, err := l.dial(ctx, "tcp", l.addr)
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	for {
+		l.mu.Lock()
+		addr := l.addr
+		l.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), dialWait)
+		nc, err := l.dial(ctx, "tcp", addr)
+		cancel()
+		l.mu.Lock()
+		if l.addr == addr {
+			defer l.mu.Unlock()
+			return l.connected(nc, err)
+		}
+		l.mu.Unlock() // moved meanwhile
+		if err == nil {
+			nc.Close()
+		}
+	}
+}
+
+// connected takes the outcome of a dial. The lock is held.
+func (l *lane) connected(nc net.Conn, err error) *line {
 	if err != nil {
 		l.rest = min(max(2*l.rest, restMin), restMax)
 		l.restTo = time.Now().Add(l.rest)
@@ -154,11 +190,23 @@
 	}
 	l.rest = 0
 	nc.SetReadDeadline(time.Now().Add(idle))
-	l.line = &line{lane: l, nc: nc, since: time.Now()}
+	l.line = &line{lane: l, addr: l.addr, nc: nc, since: time.Now()}
 	go l.line.read()
 	return l.line
 }
 
+// leave ends the connection once what is out is answered.
+func (n *line) leave() {
+	n.mu.Lock()
+	n.left = true
+	n.nc.SetReadDeadline(time.Now().Add(n.lane.limit)) // what comes later is late for everybody
+	over := len(n.pending) == 0
+	n.mu.Unlock()
+	if over {
+		n.end("counter-moved")
+	}
+}
+
 func (n *line) outstanding() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -174,7 +222,7 @@
 			continue // taken for timed out by now; adding it late would spend a lease that nobody has
 		}
 		sent = append(sent, c)
-		out = appendCall(out, n.lane.addr, c)
+		out = appendCall(out, n.addr, c)
 	}
 	*buf = out
 	if n.ended {
@@ -184,7 +232,7 @@
 		}
 		return
 	}
-	if len(n.pending) == 0 {
+	if len(n.pending) == 0 && !n.left {
 		n.nc.SetReadDeadline(now.Add(silent))
 	}
 	n.pending = append(n.pending, sent...)
@@ -261,12 +309,17 @@
 	}
 	c := n.pending[0]
 	n.pending = n.pending[1:]
-	wait := idle
+	wait, over := idle, len(n.pending) == 0 && n.left
 	if len(n.pending) > 0 {
 		wait = silent
 	}
-	n.nc.SetReadDeadline(time.Now().Add(wait))
+	if !n.left {
+		n.nc.SetReadDeadline(time.Now().Add(wait))
+	}
 	n.mu.Unlock()
+	if over {
+		defer n.end("counter-moved")
+	}
 	switch r.StatusCode {
 	case 200:
 		total, err := strconv.ParseFloat(strings.TrimSpace(string(r.Content)), 64)
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,6 +21,7 @@
 const (
 	silent   = 7 * time.Second // a watch with no line for so long has missed three beats of 2 s
 	dialWait = time.Second
+	listWait = time.Second           // for the whole list, which is answered at once if at all
 	restMin  = 50 * time.Millisecond // between watches that broke, growing to restMax
 	restMax  = time.Second
 )
@@ -60,21 +62,77 @@
 // Dial opens connections, as net.Dialer.DialContext does.
 type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// Watch hands the known list to tell, and then all that discovery has to say, until the context ends.
-func Watch(ctx context.Context, addr string, known List, tell func(full bool, list []core.Server), dial Dial,
-	log zerolog.Logger) {
-	w := &watch{addr: addr, tell: tell, dial: dial, log: log}
+// Watcher follows the list of servers at one address after another.
+type Watcher struct {
+	tell func(full bool, list []core.Server)
+	dial Dial
+	log  zerolog.Logger
+
+	mu    sync.Mutex
+	addr  string
+	moved chan struct{} // closed by Move, and then replaced
+
+	generation int64 // of Run's goroutine, as is fresh
+	fresh      bool  // the address is new: its versions are not those of the one before
+}
+
+// NewWatcher returns a watcher of discovery at an address.
+func NewWatcher(addr string, tell func(full bool, list []core.Server), dial Dial,
+	log zerolog.Logger) *Watcher {
+	return &Watcher{tell: tell, dial: dial, log: log, addr: addr, moved: make(chan struct{})}
+}
+
+// Move has the watch go on at another address, at once. The list so far stays in use until the new address
+// has told the whole of its own.
+func (w *Watcher) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr == w.addr {
+		return
+	}
+	w.addr = addr
+	close(w.moved)
+	w.moved = make(chan struct{})
+}
+
+func (w *Watcher) where() (addr string, moved <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.addr, w.moved
+}
+
+// Run hands the known list to tell, and then all that discovery has to say, until the context ends.
+func (w *Watcher) Run(ctx context.Context, known List) {
 	if err := w.learn(known, true); err != nil {
-		log.Warn().Str("code", "bad-list").Err(err).Msg("known list of servers")
+		w.log.Warn().Str("code", "bad-list").Err(err).Msg("known list of servers")
 	}
+	for ctx.Err() == nil {
+		addr, moved := w.where()
+		w.stay(ctx, addr, moved)
+		w.fresh = true
+	}
+}
+
+// stay watches at one address until Move names another or the context ends.
+func (w *Watcher) stay(ctx context.Context, addr string, moved <-chan struct{}) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-moved:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	rest := restMin
 	for ctx.Err() == nil {
 		start := time.Now()
-		lines, err := w.follow(ctx)
+		lines, err := w.follow(ctx, addr)
+		code := reason(err)
 		if ctx.Err() != nil {
-			return
+			code, err = "watch-left", nil
 		}
-		log.Info().Str("side", "discovery").Str("code", reason(err)).AnErr("error", err).Int("lines", lines).
+		w.log.Info().Str("side", "discovery").Str("code", code).AnErr("error", err).Int("lines", lines).
 			Dur("age", time.Since(start)).Msg("connection ended")
 		if lines > 0 {
 			rest = restMin
@@ -87,26 +145,18 @@
 	}
 }
 
-type watch struct {
-	addr       string
-	generation int64
-	tell       func(bool, []core.Server)
-	dial       Dial
-	log        zerolog.Logger
-}
-
-func (w *watch) learn(l List, full bool) error {
+func (w *Watcher) learn(l List, full bool) error {
 	servers, err := l.Servers()
 	if err != nil {
 		return err
 	}
-	w.generation = l.Generation
+	w.generation, w.fresh = l.Generation, false
 	w.tell(full, servers)
 	return nil
 }
 
 // line takes one line of a watch.
-func (w *watch) line(text []byte) error {
+func (w *Watcher) line(text []byte) error {
 	if len(text) == 0 {
 		return nil // a beat
 	}
@@ -125,20 +175,24 @@
 	errEnded = errors.New("the watch has ended")
 )
 
-// follow opens one watch and reads it to its end.
-func (w *watch) follow(ctx context.Context) (lines int, err error) {
+// follow opens one watch and reads it to its end. At a fresh address it asks for the whole list first: what
+// has changed there since a version of another address's would say nothing of what is missing.
+func (w *Watcher) follow(ctx context.Context, addr string) (lines int, err error) {
 	dialing, cancel := context.WithTimeout(ctx, dialWait)
-	nc, err := w.dial(dialing, "tcp", w.addr)
+	nc, err := w.dial(dialing, "tcp", addr)
 	cancel()
 	if err != nil {
 		return 0, fmt.Errorf("connecting: %w", err)
 	}
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
-	request := "GET /v1/servers?follow=1&since=" + strconv.FormatInt(w.generation, 10) + " HTTP/1.1\r\nHost: " +
-		w.addr + "\r\n\r\n"
-	if _, err := nc.Write([]byte(request)); err != nil {
-		return 0, fmt.Errorf("asking: %w", err)
+	if w.fresh {
+		if err := w.whole(nc, addr); err != nil {
+			return 0, err
+		}
+	}
+	if err := ask(nc, addr, "/v1/servers?follow=1&since="+strconv.FormatInt(w.generation, 10)); err != nil {
+		return 0, err
 	}
 	var s http1.Stream
 	buf := make([]byte, 16<<10)
@@ -160,6 +214,52 @@
 	}
 }
 
+// whole asks for the whole list, and takes it.
+func (w *Watcher) whole(nc net.Conn, addr string) error {
+	if err := ask(nc, addr, "/v1/servers"); err != nil {
+		return err
+	}
+	frames := http1.NewResponses(http1.Limits{Head: http1.DefaultLimits.Head, Body: http1.LongestObject})
+	buf := make([]byte, 16<<10)
+	for {
+		nc.SetReadDeadline(time.Now().Add(listWait))
+		n, err := nc.Read(buf)
+		if err != nil {
+			return fmt.Errorf("reading the list: %w", err)
+		}
+		frames.Feed(buf[:n])
+		msg, err := frames.Next()
+		if err != nil {
+			return fmt.Errorf("reading the list: %w", err)
+		}
+		if msg == nil {
+			continue
+		}
+		r, err := new(http1.Parser).Response(msg)
+		switch {
+		case err != nil:
+			return fmt.Errorf("reading the list: %w", err)
+		case r.StatusCode != 200:
+			return fmt.Errorf("%w: status %d", errList, r.StatusCode)
+		}
+		var l List
+		if err := json.Unmarshal(r.Content, &l); err != nil {
+			return fmt.Errorf("%w: %w", errList, err)
+		}
+		if err := w.learn(l, true); err != nil {
+			return fmt.Errorf("%w: %w", errList, err)
+		}
+		return nil
+	}
+}
+
+func ask(nc net.Conn, addr, target string) error {
+	if _, err := nc.Write([]byte("GET " + target + " HTTP/1.1\r\nHost: " + addr + "\r\n\r\n")); err != nil {
+		return fmt.Errorf("asking: %w", err)
+	}
+	return nil
+}
+
 func reason(err error) string {
 	var timeout net.Error
 	var protocol *http1.Error
