--- a/cmd/dunespoke/scenario_test.go
+++ b/cmd/dunespoke/scenario_test.go
@@ -160,6 +160,56 @@
 		app send HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nmon
 		app close
 		client expect HTTP/1.1 502`,
+	"noise with an empty line in it is a reset at once": `
+		client send $post\r\nhi
+		app expect hi
+		app send \x93noise\r\n\r\n
+		client expect HTTP/1.1 502
+		app wait closed`,
+	"an answer that stops half way is a reset, and holds up nobody": strings.Repeat(served, 4) + `
+		app expect \r\n\r\n
+		client send $get\r\n
+		app expect 00000000000000aa\r\n\r\n
+		app send HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nmon
+		client wait 499ms
+		app wait nothing
+		client wait 1ms
+		app wait closed
+		app2 expect GET
+		app2 send $ok
+		client expect money`,
+	"one answer may have others ahead of it, but not without end": served + `
+		client send $post\r\nhi
+		app expect hi
+		app send HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n$ok
+		client expect money
+		client send $post\r\nhi
+		app expect hi
+		app send $interims
+		client expect HTTP/1.1 502
+		app wait closed`,
+	"a new server at the address of one that has gone has connections of its own": `
+		client send $get\r\n
+		app expect GET
+		app send $ok
+		client expect money
+		discovery expect since=4
+		discovery send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n
+		discovery send 7d\r\n{"generation":5,"reset":false,"instances":[{"instanceId":"s-2","hostPort":"app",
+		discovery send "zone":"a","lifecycle":"Ready","weight":1}]}\n\r\n
+		discovery send 83\r\n{"generation":6,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"app",
+		discovery send "zone":"a","lifecycle":"Terminating","weight":1}]}\n\r\n
+		app wait closed
+		client send $get\r\n
+		app2 expect GET
+		app2 send $ok
+		client expect money
+		discovery send 7c\r\n{"generation":7,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"app",
+		discovery send "zone":"a","lifecycle":"Gone","weight":1}]}\n\r\n
+		client send $get\r\n
+		app2 expect GET
+		app2 send $ok
+		client expect money`,
 	"turned away unseen, a withdrawal goes out again": `
 		client send $post\r\nhi
 		app expect hi
@@ -242,6 +292,7 @@
 }
 
 func TestScenarios(t *testing.T) {
+	words["interims"] = strings.Repeat(`HTTP/1.1 103 Early Hints\r\n\r\n`, 17)
 	words["long"] = `X-Long: ` + strings.Repeat("x", 17<<10)
 	for name, script := range scenarios {
 		t.Run(name, func(t *testing.T) { play(t, testConf(false), config.Operator{}, script) })
--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -141,6 +141,10 @@
 	return p.agent(operator.Agent)
 }
 
+// stall is how long the rest of an app server's answer may take. They send answers whole; one that stops half
+// way would hold its request until the deadline, for nothing.
+const stall = 500 * time.Millisecond
+
 // platform starts the platform's front and all that stands behind it.
 func (p *program) platform(conf *config.Platform, guard platform.Guard, share sockets) error {
 	var known discovery.List
@@ -151,7 +155,7 @@
 	}
 	c, err := p.core(conf.Settings, uint64(conf.Seed), conf.Counter, forward.Config{
 		DialTimeout: conf.Settings.DialTimeout, KeepAlive: conf.KeepAlive, Connections: share.servers,
-		Judge: platform.Judge})
+		Stall: stall, Judge: platform.Judge})
 	if err != nil {
 		return err
 	}
--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -37,6 +37,7 @@
 	chunks   Chunks
 	ready    int  // bytes of the message handed out last
 	asked    bool // WantsContinue was answered
+	interims int  // 1xx responses passed over before this one
 	err      error
 }
 
@@ -144,8 +145,11 @@
 
 // findHead looks for the end of the head and works out how the body is framed.
 func (f *Framer) findHead() error {
+	if f.response && !statusBegins(f.buf) { // at once: noise may hold an empty line, or never end
+		return bad(502, "status-line")
+	}
 	for { // an empty line before a message is passed over, as RFC 9112 asks
-		if !bytes.HasPrefix(f.buf, []byte("\r\n")) {
+		if f.response || !bytes.HasPrefix(f.buf, []byte("\r\n")) {
 			break
 		}
 		f.buf, f.scanned = f.buf[2:], 0
@@ -168,7 +172,10 @@
 	if err := f.frame(f.buf[:head-2]); err != nil {
 		return err
 	}
-	if f.response && f.buf[0] == 'H' && interim(f.buf[:head]) {
+	if f.response && interim(f.buf[:head]) {
+		if f.interims++; f.interims > mostInterim {
+			return bad(502, "too-many-interim")
+		}
 		f.buf, f.scanned = f.buf[head:], 0
 		f.form, f.need = formLength, 0
 		return f.findHead()
@@ -178,6 +185,26 @@
 	return nil
 }
 
+// mostInterim is how many 1xx responses may go before one: a server that sends them without end never
+// answers.
+const mostInterim = 16
+
+const statusStart = "HTTP/1."
+
+// statusBegins reports whether bytes may be the beginning of a status line, as far as they came.
+func statusBegins(p []byte) bool {
+	n := min(len(p), len(statusStart))
+	return string(p[:n]) == statusStart[:n]
+}
+
+// statusLine reports whether a line is one: the version, and a status of three digits.
+func statusLine(line []byte) bool {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	status, _, _ := bytes.Cut(rest, []byte(" "))
+	_, digits := decimal(status)
+	return statusBegins(line) && len(version) == len(statusStart)+1 && len(status) == 3 && digits
+}
+
 // interim reports whether a response only goes before the true one.
 func interim(head []byte) bool {
 	_, status, _ := bytes.Cut(head, []byte(" "))
@@ -192,6 +219,9 @@
 	if bytes.IndexByte(first, '\n') >= 0 {
 		return bad(400, "bare-line-feed")
 	}
+	if f.response && !statusLine(first) {
+		return bad(502, "status-line")
+	}
 	for len(lines) > 0 {
 		var line []byte
 		line, lines, _ = bytes.Cut(lines, []byte("\r\n"))
--- a/internal/net/counter/counter.go
+++ b/internal/net/counter/counter.go
@@ -3,10 +3,12 @@
 package counter
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"hash/fnv"
 	"io"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -29,6 +31,9 @@
 	restMax  = time.Second
 )
 
+// limits are far over what an answer with a total needs. Guards the calls behind one whose length is wrong.
+var limits = http1.Limits{Head: 4 << 10, Body: 64}
+
 // Dial opens connections, as net.Dialer.DialContext does.
 type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
@@ -259,13 +264,13 @@
 }
 
 func (n *line) read() {
-	frames := http1.NewResponses(http1.DefaultLimits)
+	frames := http1.NewResponses(limits)
 	var parser http1.Parser
-	buf := make([]byte, 4<<10)
+	buf := make([]byte, 1<<10)
 	for {
 		count, err := n.nc.Read(buf)
 		if err != nil {
-			n.end(n.reason(err))
+			n.end(n.reason(err, frames.Started()))
 			return
 		}
 		frames.Feed(buf[:count])
@@ -276,6 +281,9 @@
 				return
 			}
 			if msg == nil {
+				if frames.Started() { // the rest of an answer comes at once, or it is spoilt and holds up all behind it
+					n.nc.SetReadDeadline(time.Now().Add(n.lane.limit))
+				}
 				break
 			}
 			r, err := parser.Response(msg)
@@ -287,9 +295,11 @@
 	}
 }
 
-func (n *line) reason(err error) string {
+func (n *line) reason(err error, begun bool) string {
 	var timeout net.Error
 	switch {
+	case errors.As(err, &timeout) && timeout.Timeout() && begun:
+		return "bad-answer"
 	case errors.As(err, &timeout) && timeout.Timeout() && n.outstanding() > 0:
 		return "counter-silent"
 	case errors.As(err, &timeout) && timeout.Timeout():
@@ -322,8 +332,8 @@
 	}
 	switch r.StatusCode {
 	case 200:
-		total, err := strconv.ParseFloat(strings.TrimSpace(string(r.Content)), 64)
-		if err != nil || total != total {
+		total, ok := readTotal(r.Content)
+		if !ok { // it has been added all the same, and must not be added again
 			c.done(choice.Reset, 0)
 			return false
 		}
@@ -338,6 +348,17 @@
 	return true
 }
 
+// readTotal reads a total: a decimal number, perhaps with an exponent. What else strconv takes for a number
+// (infinities, hex digits, underscores) is none.
+func readTotal(text []byte) (total float64, ok bool) {
+	text = bytes.TrimSpace(text)
+	if bytes.ContainsFunc(text, func(r rune) bool { return !strings.ContainsRune("0123456789+-.eE", r) }) {
+		return 0, false
+	}
+	total, err := strconv.ParseFloat(string(text), 64)
+	return total, err == nil && math.Abs(total) < 1e15
+}
+
 // end closes the connection. What was written and not answered may have been added.
 func (n *line) end(code string) {
 	n.mu.Lock()
--- a/internal/net/counter/counter_test.go
+++ b/internal/net/counter/counter_test.go
@@ -106,3 +106,33 @@
 		want(t, ended(), fmt.Sprintf("a:%d=0 a:%d=0", choice.Refused, choice.Refused))
 	})
 }
+
+// What is no answer, or has no total, ends its connection at once or within the limit of a call. It has been
+// added, and is not added again; the calls behind it don't wait for it.
+func TestASpoiltAnswerEndsItsConnection(t *testing.T) {
+	for _, spoilt := range []string{`\x93noise\r\n\r\n`, `HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n1`,
+		`HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n1`, answer + `-`,
+		`HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ninf`, `HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n0x1`,
+		`HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n1_0`, `HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n1e99`} {
+		t.Run(spoilt, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n, add, ended := start(t)
+				add("a")
+				begun := time.Now()
+				scenario.Play(t, n, nil, `
+					counter expect /a?
+					counter send `+spoilt+`
+					counter wait closed`)
+				if took := time.Since(begun); took > 50*time.Millisecond {
+					t.Errorf("closed after %v", took)
+				}
+				want(t, ended(), fmt.Sprintf("a:%d=0", choice.Reset))
+				add("a")
+				scenario.Play(t, n, nil, `
+					counter expect add=2.5
+					counter send HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n-1.5e+1`)
+				want(t, ended(), "a:0=-15")
+			})
+		})
+	}
+}
--- a/internal/net/direct/direct_linux.go
+++ b/internal/net/direct/direct_linux.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"unsafe"
 )
@@ -79,8 +80,50 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
+	return c.read(p, c.reads)
+}
+
+// ReadWanted reads as Read does, as long as wanted reports true when something comes; else that is left where
+// it is, and the error is ErrUnwanted. The lock is held from the question to the end of the read, so that
+// what changes the answer under that lock can rely on Unread.
+func (c *Conn) ReadWanted(p []byte, lock sync.Locker, wanted func() bool) (int, error) {
+	unwanted := false
+	n, err := c.read(p, func(fd uintptr) bool {
+		lock.Lock()
+		defer lock.Unlock()
+		if wanted() {
+			return c.in.step(syscall.SYS_READ, fd)
+		}
+		unwanted = unread(fd)
+		return unwanted
+	})
+	if unwanted {
+		return 0, ErrUnwanted
+	}
+	return n, err
+}
+
+// Unread reports whether something has come, an end or an error included, that was not read yet.
+func (c *Conn) Unread() bool {
+	found := true
+	err := c.raw.Control(func(fd uintptr) { found = unread(fd) })
+	return found || err != nil
+}
+
+func unread(fd uintptr) bool {
+	var b [1]byte
+	for {
+		_, _, errno := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b[0])), 1,
+			syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+		if errno != syscall.EINTR {
+			return errno != syscall.EAGAIN
+		}
+	}
+}
+
+func (c *Conn) read(p []byte, step func(fd uintptr) bool) (int, error) {
 	c.in = transfer{p: p}
-	err := c.raw.Read(c.reads)
+	err := c.raw.Read(step)
 	n, errno := c.in.done, c.in.errno
 	c.in.p = nil
 	switch {
--- a/internal/net/direct/direct_linux_test.go
+++ b/internal/net/direct/direct_linux_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"testing"
 	"time"
 )
@@ -74,3 +75,38 @@
 	}
 	t.Error("writes to a peer that has gone end well")
 }
+
+// What comes unwanted is seen and left where it is, until it is wanted.
+func TestWhatIsUnwantedStaysUnread(t *testing.T) {
+	a, b := pair(t)
+	var lock sync.Mutex
+	wanted := false
+	read := func() (string, error) {
+		buf := make([]byte, 9)
+		n, err := a.(*Conn).ReadWanted(buf, &lock, func() bool { return wanted })
+		return string(buf[:n]), err
+	}
+	if a.(*Conn).Unread() {
+		t.Error("something unread before anything came")
+	}
+	time.AfterFunc(time.Millisecond, func() { b.Write([]byte("noise")) })
+	if got, err := read(); got != "" || err != ErrUnwanted {
+		t.Errorf("unwanted: read %q, %v", got, err)
+	}
+	if !a.(*Conn).Unread() {
+		t.Error("what came is not seen")
+	}
+	wanted = true
+	if got, err := read(); got != "noise" || err != nil {
+		t.Errorf("wanted: read %q, %v", got, err)
+	}
+	wanted = false
+	b.Close()
+	if _, err := read(); err != ErrUnwanted || !a.(*Conn).Unread() {
+		t.Errorf("the end of an idle connection: %v", err)
+	}
+	a.SetReadDeadline(time.Now().Add(-time.Second))
+	if _, err := read(); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("past its deadline a read ends with %v", err)
+	}
+}
--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"dunespoke/choice"
 	"dunespoke/core"
 	"dunespoke/internal/http1"
+	"dunespoke/internal/net/direct"
 )
 
 // Message is a request as the servers are to get it. A front puts it into core.Request.Payload.
@@ -32,6 +34,7 @@
 	DialTimeout time.Duration
 	KeepAlive   time.Duration // servers close connections that stood idle so long
 	Connections int           // the most to all servers
+	Stall       time.Duration // how long the rest of an answer may take once it has begun; 0: any time
 	Judge       Judge
 	Limits      http1.Limits
 	Log         zerolog.Logger
@@ -43,30 +46,42 @@
 	slots chan struct{}
 
 	mu   sync.Mutex
-	idle map[string][]*conn // by address, the one used last at the end
+	idle map[place][]*conn // the one used last at the end
 }
 
+// place is where a connection leads. A server that is new may have the address of one that has gone.
+type place struct{ server, addr string }
+
+func placeOf(s core.Server) place { return place{s.Name, s.Addr} }
+
 // idlePart is the part of the servers' keep-alive after which an idle connection is closed from here. Well
 // under 1: a request written to a connection that the server is closing ends as a reset, and one that must
 // not run twice is lost by it.
 const idlePart = 0.6
 
+// settleTime is how long a connection rests after an answer. What a server sends beyond its answer comes
+// right behind, and must not meet the next request.
+const settleTime = 2 * time.Millisecond
+
+// stallTime is how long the rest of an answer may take. The servers send answers whole; one that stops half
+// way would hold its request for nothing.
+const stallTime = 500 * time.Millisecond
+
 // New returns a forwarder.
 func New(c Config) *Forwarder {
 	if c.Limits == (http1.Limits{}) {
 		c.Limits = http1.DefaultLimits
 	}
-	return &Forwarder{Config: c, slots: make(chan struct{}, max(1, c.Connections)), idle: map[string][]*conn{}}
+	return &Forwarder{Config: c, slots: make(chan struct{}, max(1, c.Connections)), idle: map[place][]*conn{}}
 }
 
 // exchange is one attempt under way.
 type exchange struct {
 	core.Attempt
-	f      *Forwarder
-	cancel context.CancelFunc // ends a dial
-	ctx    context.Context
+	f *Forwarder
 
 	mu      sync.Mutex
+	cancel  context.CancelFunc // ends a dial
 	aborted bool
 	written bool // the last byte may have gone out
 	conn    *conn
@@ -75,36 +90,68 @@
 // Start sends an attempt, on an idle connection if there is one.
 func (f *Forwarder) Start(a core.Attempt) core.Running {
 	x := &exchange{Attempt: a, f: f}
-	if c := f.take(a.Server.Addr); c != nil {
+	if c := f.take(placeOf(a.Server)); c != nil {
 		x.conn = c
-		go x.write(c)
+		go x.reuse(c)
 		return x
 	}
-	x.ctx, x.cancel = context.WithTimeout(context.Background(), f.DialTimeout)
 	go x.dial()
 	return x
 }
 
+// reuse writes the request to an idle connection, or to another if that one is spoilt.
+func (x *exchange) reuse(c *conn) {
+	for ; c != nil; c = x.f.take(placeOf(x.Server)) {
+		if !x.on(c) {
+			return
+		}
+		if rest := settleTime - time.Since(c.used); rest > 0 {
+			time.Sleep(rest)
+		}
+		if x.write(c) {
+			return
+		}
+	}
+	x.dial()
+}
+
+// on notes which connection the attempt goes by. If it was aborted meanwhile, it ends here with it.
+func (x *exchange) on(c *conn) bool {
+	x.mu.Lock()
+	x.conn = c
+	aborted := x.aborted
+	x.mu.Unlock()
+	if aborted {
+		c.end("attempt-given-up")
+		x.End(core.Result{Code: choice.Refused})
+	}
+	return !aborted
+}
+
 // Drop closes the idle connections to a server.
 func (f *Forwarder) Drop(s core.Server) {
 	f.mu.Lock()
-	old := f.idle[s.Addr]
-	delete(f.idle, s.Addr)
+	old := f.idle[placeOf(s)]
+	delete(f.idle, placeOf(s))
 	f.mu.Unlock()
 	for _, c := range old {
 		c.end("server-left")
 	}
 }
 
-func (f *Forwarder) take(addr string) *conn {
+func (f *Forwarder) take(at place) *conn {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	pool := f.idle[addr]
+	pool := f.idle[at]
 	if len(pool) == 0 {
 		return nil
 	}
 	c := pool[len(pool)-1]
-	f.idle[addr] = pool[:len(pool)-1]
+	pool[len(pool)-1] = nil
+	f.idle[at] = pool[:len(pool)-1]
+	if len(pool) == 1 { // servers come and go with the fleet
+		delete(f.idle, at)
+	}
 	c.nc.SetReadDeadline(time.Time{})
 	return c
 }
@@ -113,12 +160,12 @@
 func (f *Forwarder) remove(c *conn) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	pool := f.idle[c.addr]
+	pool := f.idle[c.at]
 	for i, other := range pool {
 		if other == c {
-			f.idle[c.addr] = append(pool[:i], pool[i+1:]...)
-			if len(pool) == 1 { // addresses come and go with the fleet
-				delete(f.idle, c.addr)
+			f.idle[c.at] = slices.Delete(pool, i, i+1)
+			if len(pool) == 1 {
+				delete(f.idle, c.at)
 			}
 			return true
 		}
@@ -128,8 +175,9 @@
 
 func (f *Forwarder) give(c *conn) {
 	f.mu.Lock()
-	c.nc.SetReadDeadline(time.Now().Add(time.Duration(idlePart * float64(f.KeepAlive))))
-	f.idle[c.addr] = append(f.idle[c.addr], c)
+	c.used = time.Now()
+	c.nc.SetReadDeadline(c.used.Add(time.Duration(idlePart * float64(f.KeepAlive))))
+	f.idle[c.at] = append(f.idle[c.at], c)
 	f.mu.Unlock()
 }
 
@@ -138,10 +186,10 @@
 	x.mu.Lock()
 	x.aborted = true
 	mayHaveRun = x.written
-	c := x.conn
+	c, cancel := x.conn, x.cancel
 	x.mu.Unlock()
-	if x.cancel != nil {
-		x.cancel()
+	if cancel != nil {
+		cancel()
 	}
 	if c != nil {
 		c.end("attempt-given-up")
@@ -151,53 +199,77 @@
 
 // dial opens a connection and writes the request to it.
 func (x *exchange) dial() {
-	defer x.cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), x.f.DialTimeout)
+	defer cancel()
+	if nc := x.connect(ctx, cancel); nc != nil {
+		cancel()
+		x.begin(nc)
+	}
+}
+
+// connect opens a connection, or ends the attempt.
+func (x *exchange) connect(ctx context.Context, cancel context.CancelFunc) net.Conn {
+	x.mu.Lock()
+	x.cancel = cancel
+	aborted := x.aborted
+	x.mu.Unlock()
+	if aborted {
+		x.End(core.Result{Code: choice.Refused})
+		return nil
+	}
 	select {
 	case x.f.slots <- struct{}{}:
 	default: // guards the limit on sockets: the gate takes it for a server that accepts no more
 		x.f.Log.Warn().Str("code", "too-many-connections").Msg("attempt not sent")
 		x.End(core.Result{Code: choice.Refused})
-		return
+		return nil
 	}
-	nc, err := x.f.Dial(x.ctx, "tcp", x.Server.Addr)
+	nc, err := x.f.Dial(ctx, "tcp", x.Server.Addr)
 	if err != nil {
 		<-x.f.slots
 		x.f.Log.Info().Str("side", "server").Str("code", "dial-failed").Str("server", x.Server.Name).
 			Err(err).Msg("connection ended")
 		x.End(core.Result{Code: choice.Refused})
-		return
+		return nil
 	}
-	c := &conn{f: x.f, nc: nc, addr: x.Server.Addr, server: x.Server.Name, since: time.Now(),
+	return nc
+}
+
+// begin sends the request on a new connection, and reads that to its end.
+func (x *exchange) begin(nc net.Conn) {
+	c := &conn{f: x.f, nc: nc, at: placeOf(x.Server), since: time.Now(),
 		frames: http1.NewResponses(x.f.Limits)}
-	x.mu.Lock()
-	x.conn = c
-	aborted := x.aborted
-	x.mu.Unlock()
-	if aborted {
-		c.end("attempt-given-up")
+	if !x.on(c) {
+		return
+	}
+	if !x.write(c) {
+		x.End(core.Result{Code: choice.Refused})
 		return
 	}
-	x.write(c)
 	c.read()
 }
 
-// write hands the request to a connection. What breaks before the last byte is written has never run.
-func (x *exchange) write(c *conn) {
+// write hands the request to a connection. What breaks before the last byte is written has never run. It
+// reports false if it wrote nothing and did not end the attempt: the connection has ended or is spoilt.
+func (x *exchange) write(c *conn) bool {
 	c.mu.Lock()
 	msg := x.Payload.(Message).Append(c.out[:0], x.Server, x.Timeout)
 	c.out = msg
+	spoilt := !c.ended && c.unread()
 	x.mu.Lock()
-	stop := x.aborted || c.ended
+	stop := x.aborted || c.ended || spoilt
 	x.written = !stop
 	x.mu.Unlock()
 	if !stop {
-		c.at, c.writing = x, true
+		c.x, c.writing = x, true
 		c.count++
 	}
 	c.mu.Unlock()
-	if stop { // an idle connection that ended just before: nothing was written
-		x.End(core.Result{Code: choice.Refused})
-		return
+	if stop {
+		if spoilt {
+			c.end("unasked-bytes")
+		}
+		return false
 	}
 	n, err := c.nc.Write(msg)
 	c.mu.Lock()
@@ -207,47 +279,81 @@
 	}
 	c.mu.Unlock()
 	if err == nil {
-		return
+		return true
 	}
 	if n < len(msg) {
 		x.mu.Lock()
 		x.written = false
 		x.mu.Unlock()
 		c.finish(core.Result{Code: choice.Refused}, "not-written")
-		return
+		return true
 	}
 	c.finish(core.Result{Code: choice.Reset}, "server-reset")
+	return true
 }
 
 // conn is one connection to a server. Its reader also waits while it is idle, and so sees at once when the
 // server closes it.
 type conn struct {
-	f      *Forwarder
-	nc     net.Conn
-	addr   string
-	server string
-	since  time.Time
+	f     *Forwarder
+	nc    net.Conn
+	at    place
+	since time.Time
+	used  time.Time // when it last became idle; the pool's lock guards it
 
 	mu      sync.Mutex
 	frames  *http1.Framer
 	parser  http1.Parser
 	out     []byte
-	at      *exchange // nil while idle
+	x       *exchange // nil while idle
 	writing bool      // the request is on its way out
+	begun   bool      // its answer has begun to come; of the reader alone
 	broke   error     // what the reader met meanwhile
 	ended   bool
 	count   int
 }
 
+// guarded is a connection that can leave alone what nobody has asked for.
+type guarded interface {
+	ReadWanted(p []byte, lock sync.Locker, wanted func() bool) (int, error)
+	Unread() bool
+}
+
+// receive reads, but only while an attempt is on the connection: what comes to an idle one stays unread, so
+// that whoever is about to use it can see it. Else it might be read just before the next request is written,
+// and be taken for its answer just after.
+func (c *conn) receive(buf []byte) (int, error) {
+	if g, ok := c.nc.(guarded); ok {
+		return g.ReadWanted(buf, &c.mu, func() bool { return c.x != nil || c.ended })
+	}
+	return c.nc.Read(buf)
+}
+
+// unread reports whether something has come that nobody asked for. The lock is held.
+func (c *conn) unread() bool {
+	g, ok := c.nc.(guarded)
+	return ok && c.x == nil && g.Unread()
+}
+
 func (c *conn) read() {
 	buf := make([]byte, 4<<10)
 	for {
-		n, err := c.nc.Read(buf)
+		n, err := c.receive(buf)
+		if errors.Is(err, direct.ErrUnwanted) {
+			n, err = c.nc.Read(buf) // to tell noise from the connection's end
+			c.f.remove(c)
+			code := "unasked-bytes"
+			if n == 0 && err != nil {
+				code = "server-closed-idle"
+			}
+			c.finish(core.Result{Code: choice.Reset}, code)
+			return
+		}
 		c.mu.Lock()
 		if n > 0 {
 			c.frames.Feed(buf[:n])
 		}
-		busy, ended := c.at != nil, c.ended
+		busy, ended, begun := c.x != nil, c.ended, c.frames.Started()
 		left := err != nil && n == 0 && c.writing
 		if left {
 			c.broke = err
@@ -263,6 +369,10 @@
 				c.end("idle")
 				return
 			}
+			if busy && begun {
+				c.finish(core.Result{Code: choice.Reset}, "bad-answer")
+				return
+			}
 		case err != nil && !busy:
 			c.f.remove(c)
 			c.finish(core.Result{Code: choice.Reset}, "server-closed-idle")
@@ -301,6 +411,10 @@
 		c.finish(core.Result{Code: choice.Reset}, "server-reset")
 		return false
 	case r == nil:
+		if !c.begun && beyond && c.f.Stall > 0 {
+			c.begun = true
+			c.nc.SetReadDeadline(time.Now().Add(c.f.Stall))
+		}
 		return true
 	}
 	result := c.f.Judge(r)
@@ -313,8 +427,8 @@
 		return false
 	}
 	c.mu.Lock()
-	x := c.at
-	c.at = nil
+	x := c.x
+	c.x, c.begun = nil, false
 	if cap(c.out) > 16<<10 {
 		c.out = nil
 	}
@@ -332,8 +446,8 @@
 // finish ends the connection, and with it the attempt that it carries.
 func (c *conn) finish(res core.Result, code string) {
 	c.mu.Lock()
-	x := c.at
-	c.at = nil
+	x := c.x
+	c.x = nil
 	c.mu.Unlock()
 	c.end(code)
 	if x != nil {
@@ -352,6 +466,6 @@
 	}
 	c.nc.Close()
 	<-c.f.slots
-	c.f.Log.Info().Str("side", "server").Str("code", code).Str("server", c.server).Int("requests", c.count).
+	c.f.Log.Info().Str("side", "server").Str("code", code).Str("server", c.at.server).Int("requests", c.count).
 		Dur("age", time.Since(c.since)).Msg("connection ended")
 }
