--- a/cmd/dunespoke/introspect_test.go
+++ b/cmd/dunespoke/introspect_test.go
@@ -45,7 +45,7 @@
 		client send $basic
 		client expect 946684806
 		client wait 7s
-		client send $basic
+		client2 send $basic
 		idp2 expect token=tok`,
 	"silent for 10 s: refused in time, and not called inactive": `
 		client send $basic
--- a/cmd/dunespoke/scenario_test.go
+++ b/cmd/dunespoke/scenario_test.go
@@ -267,6 +267,22 @@
 		discovery wait 8s
 		discovery wait closed
 		discovery2 expect since=5`,
+	"the id of a request that is being answered is taken": `
+		client send $get\r\n
+		app expect 00000000000000aa\r\n\r\n
+		client2 send $get\r\n
+		client2 expect HTTP/1.1 409
+		app wait nothing
+		app send $ok
+		client expect money
+		client2 send $get\r\n
+		app expect 00000000000000aa\r\n\r\n
+		client2 close
+		app wait closed
+		client send $get\r\n
+		app2 expect GET
+		app2 send $ok
+		client expect money`,
 	"bad input is told and not sent on": `
 		client send GET /nosuch HTTP/1.1\r\nHost: h\r\n\r\n
 		client expect HTTP/1.1 404
--- a/front/introspect/introspect.go
+++ b/front/introspect/introspect.go
@@ -130,8 +130,8 @@
 	if header == "" {
 		return f.Patience, true
 	}
-	seconds, err := strconv.ParseFloat(header, 64)
-	return time.Duration(seconds * float64(time.Second)), err == nil && seconds >= 0 && seconds < 3600
+	seconds, ok := http1.Decimal(header)
+	return time.Duration(seconds * float64(time.Second)), ok && seconds < 3600
 }
 
 // word turns the core's answer into the client's.
--- a/front/platform/platform.go
+++ b/front/platform/platform.go
@@ -3,10 +3,13 @@
 package platform
 
 import (
+	"cmp"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"dunespoke/choice"
@@ -29,14 +32,18 @@
 	classes  map[string]choice.Class
 	plans    map[string]bool
 	gateways int
+	units    float64 // the most a request counts
 	draining func() bool
 	guard    Guard
+
+	mu   sync.Mutex
+	open map[uint64]struct{} // ids of the requests that are being answered
 }
 
 // New returns a front for a core with the given settings. The guard may be nil.
 func New(c *core.Core, set choice.Settings, draining func() bool, guard Guard) *Front {
 	f := &Front{core: c, guard: guard, classes: map[string]choice.Class{}, plans: map[string]bool{},
-		gateways: set.Gateways, draining: draining}
+		gateways: set.Gateways, units: cmp.Or(set.MaxUnits, 1e9), draining: draining, open: map[uint64]struct{}{}}
 	for _, k := range set.Classes {
 		f.classes[k.Name] = k
 	}
@@ -58,12 +65,45 @@
 		respond(problem)
 		return nil
 	}
+	id := in.Payload.(*message).id
+	if !f.begin(id) {
+		respond(http1.Plain(409, "X-Txn: that request is still being answered"))
+		return nil
+	}
 	in.Deadline += now
-	in.Reply = func(a core.Answer) { respond(Translate(a)) }
+	answer := func(a *http1.Answer) {
+		f.end(id)
+		respond(a)
+	}
+	in.Reply = func(a core.Answer) { answer(Translate(a)) }
+	var left func()
 	if f.guard != nil {
-		return f.throughGuard(r, in, respond)
+		left = f.throughGuard(r, in, answer)
+	} else {
+		left = f.core.Submit(in).Leave
+	}
+	return func() {
+		f.end(id)
+		left()
 	}
-	return f.core.Submit(in).Leave
+}
+
+// begin notes that a request is being answered. It reports false if one with the same id is: app servers know
+// requests by their ids, and would take the two for one.
+func (f *Front) begin(id uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, taken := f.open[id]; taken {
+		return false
+	}
+	f.open[id] = struct{}{}
+	return true
+}
+
+func (f *Front) end(id uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.open, id)
 }
 
 func (f *Front) health(r *http1.Request) *http1.Answer {
@@ -115,18 +155,24 @@
 	if r.Method != method {
 		return core.Request{}, notAllowed(method)
 	}
+	for _, header := range told {
+		if len(r.Header[header]) > 1 {
+			return bad(header + ": came more than once")
+		}
+	}
 	in := core.Request{Class: name, Plan: r.Header.Get("X-Contract")}
 	query, err := url.ParseQuery(r.URL.RawQuery)
 	if err != nil {
 		return bad("malformed query")
 	}
-	account := query.Get("account")
-	in.Customer, err = strconv.ParseUint(account, 16, 64)
-	if err != nil || len(account) != 16 || in.Customer >= customers {
-		return bad("account: want 16 hex digits of a number below 2^33")
+	account, ok := hex16(query.Get("account"))
+	if !ok || len(query["account"]) > 1 || account >= customers {
+		return bad("account: want 16 hex digits of a number below 2^33, once")
 	}
+	in.Customer = account
 	txn := r.Header.Get("X-Txn")
-	if _, err := strconv.ParseUint(txn, 16, 64); err != nil || len(txn) != 16 {
+	id, ok := hex16(txn)
+	if !ok {
 		return bad("X-Txn: want 16 hex digits")
 	}
 	key := r.Header.Get("Idempotency-Key")
@@ -140,47 +186,58 @@
 	case class.Repeat == choice.Safe && len(r.Content) > 0:
 		return bad("a body where the class has none")
 	}
-	left, err := strconv.ParseFloat(r.Header.Get("X-Remaining"), 64)
-	if err != nil || !(left >= 0 && left < 3600) {
+	left, ok := http1.Decimal(r.Header.Get("X-Remaining"))
+	if !ok || left >= 3600 {
 		return bad("X-Remaining: want seconds")
 	}
 	in.Deadline = time.Duration(left*float64(time.Second)) - margin
 	if !f.meter(r.Header.Get("X-Metering"), &in) {
 		return bad("X-Metering: want units, spread and first")
 	}
-	in.Payload = &message{method: r.Method, target: r.RequestURI, txn: txn, key: key,
+	in.Payload = &message{id: id, method: r.Method, target: r.RequestURI, txn: txn, key: key,
 		kind: r.Header.Get("Content-Type"), body: r.Content}
 	return in, nil
 }
 
-// meter reads units=2,spread=3,first=1.
+// told are the headers that say what a request is. One that came twice could be read in two ways.
+var told = []string{"X-Txn", "X-Lane", "X-Contract", "X-Remaining", "X-Metering", "Idempotency-Key"}
+
+// hex16 reads a number of 16 hex digits.
+func hex16(text string) (n uint64, ok bool) {
+	n, err := strconv.ParseUint(text, 16, 64)
+	return n, err == nil && len(text) == 16 // which leaves no room for a sign
+}
+
+// meter reads units=2,spread=3,first=1: what the request draws, and the set of ingresses that its customer's
+// requests come through. A set beyond the settings' ingresses would shift the quota's shares for others.
 func (f *Front) meter(text string, in *core.Request) bool {
-	seen := 0
+	seen := map[string]float64{}
 	for part := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		n, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(n >= 0 && n <= 1e9) {
-			return false
-		}
 		switch name {
-		case "units":
-			in.Units = n
-		case "spread":
-			if n < 1 {
-				return false
-			}
-			in.Spread = int(n)
-		case "first":
+		case "units", "spread", "first":
 		default:
 			continue
 		}
-		seen++
+		n, ok := http1.Decimal(value)
+		if _, twice := seen[name]; !ok || twice {
+			return false
+		}
+		seen[name] = n
+	}
+	units, spread, first := seen["units"], seen["spread"], seen["first"]
+	whole := spread == math.Trunc(spread) && first == math.Trunc(first)
+	n := float64(f.gateways)
+	if len(seen) != 3 || !whole || units <= 0 || units > f.units || spread < 1 || spread > n || first >= n {
+		return false
 	}
-	return seen == 3
+	in.Units, in.Spread = units, int(spread)
+	return true
 }
 
 // message is a request as app servers get it: what identifies it passes on unchanged.
 type message struct {
+	id                             uint64 // that of txn
 	method, target, txn, key, kind string
 	body                           []byte
 }
--- a/front/platform/platform_test.go
+++ b/front/platform/platform_test.go
@@ -12,7 +12,7 @@
 
 func front(t testing.TB) *Front {
 	t.Helper()
-	set := choice.Settings{Gateways: 1, MaxAttempts: 1, QueueField: -1,
+	set := choice.Settings{Gateways: 3, MaxUnits: 2, MaxAttempts: 1, QueueField: -1,
 		Classes: []choice.Class{
 			{Name: "enquiry", Repeat: choice.Safe, Aim: time.Second, Deadline: time.Second},
 			{Name: "transfer", Repeat: choice.Keyed, Aim: time.Second, Deadline: time.Second}},
@@ -48,6 +48,13 @@
 	for _, change := range [][2]string{{"X-Lane: transfer", "X-Lane: enquiry"}, {"basic", "nosuch"},
 		{"00aa", "00ag"}, {"X-Txn", "X-Other"}, {"1.5", "-1"}, {"1.5", "NaN"}, {"1.5", "1e9"},
 		{"Idempotency-Key: k", "A: b"}, {"units=2,", ""}, {"spread=3", "spread=0"}, {"first=1", "first=x"},
+		{"units=2", "units=3"}, {"units=2", "units=0"}, {"units=2", "units=+2"}, {"units=2", "units=0x1"},
+		{"units=2", "units=inf"}, {"units=2", "units=1e0"}, {"units=2", "units=1_0"}, {"units=2", "units=-1"},
+		{"units=2", "units=2,units=1"}, {"spread=3", "spread=4"}, {"spread=3", "spread=1.5"},
+		{"first=1", "first=3"}, {"first=1", "first=-1"}, {"1.5", "+1.5"}, {"1.5", "0x1p0"}, {"1.5", "Inf"},
+		{"1.5", "1e0"}, {"1.5", "1."}, {"1.5", ""}, {"&x=", "&account=0000000000000008&x="},
+		{"X-Contract: basic", "X-Contract: basic\r\nX-Contract: basic"},
+		{"X-Remaining: 1.5", "X-Remaining: 1.5\r\nx-remaining: 1.5"}, {"00000000000000aa", "+0000000000000aa"},
 		{"account=00", "account="}, {"account=00", "account=zz"}, {"%0d%0a", "%zz"}} {
 		r, err := new(http1.Parser).Request([]byte(strings.Replace(good, change[0], change[1], 1)))
 		if err != nil {
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // Request is a whole request.
@@ -127,3 +128,14 @@
 	buf = append(buf, value...)
 	return append(buf, "\r\n"...)
 }
+
+// Decimal reads a number of digits, perhaps with a point between them. What else strconv takes (signs,
+// exponents, infinities, hex digits, underscores) no client has cause to send.
+func Decimal(text string) (n float64, ok bool) {
+	odd := func(r rune) bool { return (r < '0' || r > '9') && r != '.' }
+	if strings.ContainsFunc(text, odd) || strings.HasPrefix(text, ".") || strings.HasSuffix(text, ".") {
+		return 0, false
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	return n, err == nil
+}
--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -42,10 +42,21 @@
 // drainAccept is how long new connections are taken after Drain: the front notices only then.
 const drainAccept = 500 * time.Millisecond
 
-// Limits on a client's time, so that slow and forgotten ones don't hold connections for good.
+// Limits on a client's time, so that slow, silent and forgotten ones don't hold what others need. The
+// platform owes a client that sends nothing of use an error or a close within 3 s of its connecting.
 const (
-	requestWait = 20 * time.Second // to send one request, and to take its answer
-	idleWait    = time.Minute      // between requests
+	requestWait = 2500 * time.Millisecond // to send one request, the first from the time of connecting on
+	answerWait  = 5 * time.Second         // to take an answer
+	idleWait    = 5 * time.Second         // between requests
+	lateWait    = 2 * time.Millisecond    // for what came while this program stood still
+	newWait     = 50 * time.Millisecond   // for a request, while connections are short
+)
+
+// What a client still sends after an error is read and dropped, since to close a connection with unread bytes
+// resets it, and the reset may overtake the error.
+const (
+	lingerWait = time.Second
+	lingerMost = 1 << 20
 )
 
 // New returns a server that takes connections from a listener, and holds at most the given number of them.
@@ -83,26 +94,42 @@
 	}
 }
 
-// claim takes a slot for one more connection. At the limit the one that has been idle longest makes room; if
-// none is idle, clients wait. Guards against connections that nobody uses keeping out requests,
-// which count as taken from the moment that the machine, not this program, has accepted them.
+// claim takes a slot for one more connection. At the limit another makes room for it; if all are being
+// answered, clients wait. Guards against connections that nobody uses keeping out requests, which count as
+// taken from the moment that the machine, not this program, has accepted them.
 func (s *Server) claim() {
-	select {
-	case s.slots <- struct{}{}:
-		return
-	default:
+	for {
+		select {
+		case s.slots <- struct{}{}:
+			return
+		default:
+		}
+		c, use := s.leastUsed()
+		switch {
+		case c == nil || use.rank == rankBusy:
+			select {
+			case s.slots <- struct{}{}:
+				return
+			case <-time.After(newWait): // by then one of them may be answered, and ask nothing
+			}
+		case use.rank == rankNew: // its request may be on the way
+			time.Sleep(newWait - time.Since(use.since))
+		case c.makeRoom():
+			s.slots <- struct{}{}
+			return
+		}
 	}
-	var oldest *conn
-	var since time.Time
+}
+
+// leastUsed returns the connection that should make room first.
+func (s *Server) leastUsed() (least *conn, use usage) {
 	for _, c := range s.all() {
-		if from, idle := c.idleSince(); idle && (oldest == nil || from.Before(since)) {
-			oldest, since = c, from
+		u := c.usage()
+		if least == nil || u.rank < use.rank || u.rank == use.rank && u.since.Before(use.since) {
+			least, use = c, u
 		}
 	}
-	if oldest != nil {
-		oldest.closeIdle("made-room")
-	}
-	s.slots <- struct{}{}
+	return least, use
 }
 
 // all returns the connections there are.
@@ -166,6 +193,9 @@
 	parser http1.Parser
 	busy   bool      // a request is being answered
 	last   bool      // nothing more is read after the answer at hand
+	unread bool      // what was refused may still be coming
+	spilt  int       // bytes read and dropped since nothing more is read
+	linger time.Time // when to stop dropping; zero before the last answer is out
 	leave  func()    // for the request being answered
 	begun  time.Time // when the request that is coming in began; zero if none is
 	out    []byte
@@ -183,8 +213,17 @@
 	for {
 		c.nc.SetReadDeadline(c.deadline())
 		n, err := c.nc.Read(buf)
+		if n == 0 && isTimeout(err) { // what has come meanwhile is read all the same
+			c.nc.SetReadDeadline(time.Now().Add(lateWait))
+			n, err = c.nc.Read(buf)
+		}
 		c.mu.Lock()
-		if n > 0 {
+		switch {
+		case n > 0 && c.last:
+			if c.spilt += n; c.spilt > lingerMost {
+				err = errAhead
+			}
+		case n > 0:
 			c.frames.Feed(buf[:n])
 			c.advance()
 			switch coming := !c.busy && c.frames.Started(); {
@@ -193,15 +232,14 @@
 			case c.begun.IsZero(): // not anew with each byte, or a slow client would never end
 				c.begun = time.Now()
 			}
-			if c.frames.Buffered() > mostAhead {
-				err = errAhead
-			}
+			c.last = c.last || c.frames.Buffered() > mostAhead
 		}
-		if err != nil && !c.ended {
-			if c.busy && isTimeout(err) { // one that waits for its answer may be silent
-				c.mu.Unlock()
-				continue
-			}
+		switch {
+		case err == nil || c.ended:
+		case isTimeout(err) && c.busy: // one that waits for its answer may be silent
+		case isTimeout(err) && c.linger.IsZero() && c.frames.Started():
+			c.refuse(&http1.Error{Status: 408, Reason: "request-too-slow"})
+		default:
 			c.end(c.reason(err))
 		}
 		ended := c.ended
@@ -212,9 +250,16 @@
 	}
 }
 
-// deadline is when a read is given up. Only the reader writes begun.
+// deadline is when a read is given up.
 func (c *conn) deadline() time.Time {
-	if c.begun.IsZero() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.linger.IsZero():
+		return c.linger
+	case c.count == 0:
+		return c.since.Add(requestWait)
+	case c.begun.IsZero():
 		return time.Now().Add(idleWait)
 	}
 	return c.begun.Add(requestWait)
@@ -229,8 +274,10 @@
 
 func (c *conn) reason(err error) string {
 	switch {
-	case isTimeout(err) && c.frames.Started():
-		return "request-too-slow"
+	case !c.linger.IsZero():
+		return "answered-last"
+	case isTimeout(err) && c.count == 0:
+		return "silent"
 	case isTimeout(err):
 		return "idle"
 	case errors.Is(err, errAhead):
@@ -257,17 +304,23 @@
 	case err == nil:
 		r, err = c.parser.Request(msg)
 	}
-	c.busy, c.leave = true, nil
-	c.count++
 	if err != nil {
-		c.last = true
-		go c.respond(http1.Problem(err))
+		c.refuse(err)
 		return
 	}
+	c.busy, c.leave = true, nil
+	c.count++
 	c.last = r.Close || !r.ProtoAtLeast(1, 1)
 	c.leave = c.s.handler.Serve(r, func(a *http1.Answer) { go c.respond(a) })
 }
 
+// refuse answers what can't be read, or came too slowly. Nothing more is read after it. The lock is held.
+func (c *conn) refuse(err error) {
+	c.busy, c.leave, c.last, c.unread, c.begun = true, nil, true, true, time.Time{}
+	c.count++
+	go c.respond(http1.Problem(err))
+}
+
 // respond writes an answer, and goes on to what the client sent meanwhile.
 func (c *conn) respond(a *http1.Answer) {
 	c.mu.Lock()
@@ -280,7 +333,7 @@
 	last := c.last
 	c.mu.Unlock()
 	// Not under the lock, so that a client that doesn't read its answer can still be seen to go.
-	c.nc.SetWriteDeadline(time.Now().Add(requestWait))
+	c.nc.SetWriteDeadline(time.Now().Add(answerWait))
 	_, err := c.nc.Write(c.out)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -292,18 +345,72 @@
 	case c.ended:
 	case err != nil:
 		c.end("answer-not-written")
-	case last || c.s.closed.Load():
-		c.end("answered-last")
-	default:
+	case !last && !c.s.closed.Load():
 		c.advance()
+	case !c.lingers():
+		c.end("answered-last")
 	}
 }
 
-// idleSince tells since when nothing has been asked on the connection.
-func (c *conn) idleSince() (since time.Time, idle bool) {
+// lingers ends the sending side of a connection whose client may still be sending, and reports whether what
+// it sends is to be read on for a while. The lock is held.
+func (c *conn) lingers() bool {
+	w, ok := c.nc.(interface{ CloseWrite() error })
+	if !ok || !c.unread && c.spilt == 0 || w.CloseWrite() != nil {
+		return false
+	}
+	c.linger = time.Now().Add(lingerWait)
+	c.nc.SetReadDeadline(c.linger)
+	return true
+}
+
+// usage is what a connection is used for, as far as that says whether it should make room for others.
+type usage struct {
+	rank  int // those of the lowest go first
+	since time.Time
+}
+
+// The ranks of connections. One that was answered before is worth more than one that has never asked, unless
+// that has just come.
+const (
+	rankOver   = iota // its last answer is out
+	rankSilent        // no whole request has come for newWait
+	rankIdle          // it was answered, and asks nothing
+	rankNew
+	rankBusy // it is being answered: never closed
+)
+
+func (c *conn) usage() usage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.ended || !c.linger.IsZero():
+		return usage{rankOver, c.since}
+	case c.busy:
+		return usage{rankBusy, c.since}
+	}
+	since := c.used
+	if !c.begun.IsZero() && c.count > 0 {
+		since = c.begun
+	}
+	switch {
+	case c.count > 0 && !c.frames.Started():
+		return usage{rankIdle, since}
+	case time.Since(since) < newWait:
+		return usage{rankNew, since}
+	}
+	return usage{rankSilent, since}
+}
+
+// makeRoom closes a connection that is not being answered.
+func (c *conn) makeRoom() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, !c.ended && !c.busy && !c.frames.Started()
+	if c.busy || c.ended {
+		return false
+	}
+	c.end("made-room")
+	return true
 }
 
 func (c *conn) closeIdle(code string) {
--- a/internal/net/accept/accept_test.go
+++ b/internal/net/accept/accept_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"io"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"dunespoke/internal/http1"
+	"dunespoke/internal/net/direct"
 	"dunespoke/internal/scenario"
 )
 
@@ -102,34 +105,113 @@
 	}
 }
 
-func TestConnectionsAreBoundedAndSlowOnesEnd(t *testing.T) {
+// Whoever sends nothing, or no whole request, is told or closed within 2.5 s of connecting, however it
+// trickles.
+func TestSilentAndSlowClientsEnd(t *testing.T) {
 	log := serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
-		time.AfterFunc(5*time.Minute, h.release)
+		time.AfterFunc(time.Minute, h.release)
 		scenario.Play(t, n, nil, `
 			client1 send GET /
 			client2 send `+hold+`
-			client1 wait 19s
+			client1 wait 2.4s
 			client1 send now
-			client1 wait 900ms
+			client1 wait 99ms
 			client1 wait nothing
+			client1 wait 1ms
+			client1 expect HTTP/1.1 408
 			client1 wait closed
-			client3 send `+now+`
-			client3 expect at once
+			client3 send
+			client3 wait 10s
 			client3 wait closed
+			client4 send `+now+`
+			client4 expect at once\n
+			client4 wait 4.9s
+			client4 wait nothing
+			client4 send GET /
+			client4 wait 2.4s
+			client4 wait nothing
+			client4 wait 100ms
+			client4 expect HTTP/1.1 408
+			client4 wait closed
+			client5 send `+now+`
+			client5 expect at once
+			client5 wait 5s
+			client5 wait closed
 			client2 wait nothing
-			client2 wait 4m
+			client2 wait 1m
 			client2 expect done`)
+		time.Sleep(idleWait)
 		if s.Free() != 100 {
 			t.Errorf("%d%% free after all have gone", s.Free())
 		}
 	})
-	for _, want := range []string{"request-too-slow", `"code":"idle"`} {
-		if !strings.Contains(log, want) {
-			t.Errorf("no %s in\n%s", want, log)
+	for code, times := range map[string]int{"silent": 1, "idle": 2, "answered-last": 2} {
+		if strings.Count(log, `"code":"`+code+`"`) != times {
+			t.Errorf("want %d times %s in\n%s", times, code, log)
 		}
 	}
 }
 
+// At the limit, who has never asked makes room before who was answered, and who is being answered never does.
+func TestSilentClientsMakeRoomFirst(t *testing.T) {
+	log := serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
+		time.AfterFunc(2*time.Second, h.release)
+		scenario.Play(t, n, nil, `
+			client1 send `+now+`
+			client1 expect at once
+			client2 send G
+			client2 wait 100ms
+			client3 send G
+			client2 wait closed
+			client3 wait 100ms
+			client4 send `+hold+`
+			client3 wait closed
+			client1 send `+hold+`
+			client5 send `+now+`
+			client1 expect done
+			client4 expect done
+			client5 expect at once`)
+	})
+	if strings.Count(log, `"code":"made-room"`) != 3 {
+		t.Errorf("want three connections that made room in\n%s", log)
+	}
+}
+
+// A client that sends far ahead of its answer gets that answer, and no other.
+func TestTooMuchAheadIsDropped(t *testing.T) {
+	serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
+		time.AfterFunc(time.Second, h.release)
+		scenario.Play(t, n, map[string]string{"ahead": strings.Repeat(now, 2+mostAhead/len(now))}, `
+			client send `+hold+`
+			client send $ahead$ahead
+			client expect done
+			client wait closed`)
+	})
+}
+
+// An error reaches a client that still sends what it is about, and its connection ends well.
+func TestAnErrorIsNotOvertakenByAReset(t *testing.T) {
+	l, err := direct.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(l, &held{}, 2, zerolog.Nop())
+	go s.Serve()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write([]byte("POST /now HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n"))
+	c.Write(make([]byte, lingerMost/2))
+	got, err := io.ReadAll(c)
+	if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 413") {
+		t.Errorf("%q, %v", got, err)
+	}
+	c.Close()
+	s.Drain()
+}
+
 func TestTheLongestIdleMakesRoom(t *testing.T) {
 	log := serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
 		scenario.Play(t, n, nil, `
--- a/internal/net/direct/direct_linux.go
+++ b/internal/net/direct/direct_linux.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -152,6 +153,14 @@
 	return n, err
 }
 
+// CloseWrite ends the sending side alone, where the connection can do that.
+func (c *Conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // Listen is net.Listen, for direct connections.
 func Listen(network, addr string) (net.Listener, error) {
 	l, err := net.Listen(network, addr)
