--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -21,6 +21,7 @@
 	"dunespoke/front/introspect"
 	"dunespoke/front/platform"
 	"dunespoke/internal/config"
+	"dunespoke/internal/http1"
 	"dunespoke/internal/net/accept"
 	"dunespoke/internal/net/counter"
 	"dunespoke/internal/net/direct"
@@ -141,10 +142,18 @@
 	return p.agent(operator.Agent)
 }
 
-// stall is how long the rest of an app server's answer may take. They send answers whole; one that stops half
-// way would hold its request until the deadline, for nothing.
+// stall is how long an app server's answer may stand still once it has begun. Slow lines bring one in many
+// pieces; one of which nothing more comes would hold its request until the deadline, for nothing.
 const stall = 500 * time.Millisecond
 
+// answerLimits bound app servers' answers. Some hold more than the 64 KiB of the protocol; what a program of
+// little memory can hold of them, with all connections in use, is less than one of much.
+func answerLimits(l config.Limits) http1.Limits {
+	limits := http1.DefaultLimits
+	limits.Body = max(limits.Body, int(min(max(l.MemoryMB, 0)<<13, 1<<20)))
+	return limits
+}
+
 // platform starts the platform's front and all that stands behind it.
 func (p *program) platform(conf *config.Platform, guard platform.Guard, share sockets) error {
 	var known discovery.List
@@ -155,7 +164,7 @@
 	}
 	c, err := p.core(conf.Settings, uint64(conf.Seed), conf.Counter, forward.Config{
 		DialTimeout: conf.Settings.DialTimeout, KeepAlive: conf.KeepAlive, Connections: share.servers,
-		Stall: stall, Judge: platform.Judge})
+		Stall: stall, Judge: platform.Judge, Limits: answerLimits(conf.Limits)})
 	if err != nil {
 		return err
 	}
--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -24,6 +24,9 @@
 // DefaultLimits are those of the platform: 64 KiB of body, and a head far over what its clients send.
 var DefaultLimits = Limits{Head: 16 << 10, Body: 64 << 10}
 
+// keepMost is how much memory a framer keeps for messages to come.
+const keepMost = 16 << 10
+
 // Framer cuts a stream of bytes into whole messages.
 type Framer struct {
 	limits   Limits
@@ -106,6 +109,9 @@
 		return
 	}
 	rest := copy(f.buf, f.buf[f.ready:])
+	if cap(f.buf) > keepMost && rest <= keepMost { // one large message must not hold its memory for good
+		f.buf = append(make([]byte, 0, rest), f.buf[:rest]...)
+	}
 	line := f.chunks.line[:0]
 	*f = Framer{limits: f.limits, response: f.response, buf: f.buf[:rest], chunks: Chunks{line: line}}
 }
--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -34,7 +34,7 @@
 	DialTimeout time.Duration
 	KeepAlive   time.Duration // servers close connections that stood idle so long
 	Connections int           // the most to all servers
-	Stall       time.Duration // how long the rest of an answer may take once it has begun; 0: any time
+	Stall       time.Duration // how long an answer that has begun may stand still; 0: any time
 	Judge       Judge
 	Limits      http1.Limits
 	Log         zerolog.Logger
@@ -307,7 +307,6 @@
 	out     []byte
 	x       *exchange // nil while idle
 	writing bool      // the request is on its way out
-	begun   bool      // its answer has begun to come; of the reader alone
 	broke   error     // what the reader met meanwhile
 	ended   bool
 	count   int
@@ -411,8 +410,7 @@
 		c.finish(core.Result{Code: choice.Reset}, "server-reset")
 		return false
 	case r == nil:
-		if !c.begun && beyond && c.f.Stall > 0 {
-			c.begun = true
+		if beyond && c.f.Stall > 0 {
 			c.nc.SetReadDeadline(time.Now().Add(c.f.Stall))
 		}
 		return true
@@ -428,7 +426,7 @@
 	}
 	c.mu.Lock()
 	x := c.x
-	c.x, c.begun = nil, false
+	c.x = nil
 	if cap(c.out) > 16<<10 {
 		c.out = nil
 	}
