--- a/cmd/dunespoke/scenario_test.go
+++ b/cmd/dunespoke/scenario_test.go
@@ -226,6 +226,22 @@
 		app send HTTP/1.1 200 OK\r\nContent-Length: 262145\r\n\r\n
 		client expect HTTP/1.1 502
 		app wait closed`,
+	"what must not run twice avoids kept connections once one has broken": strings.Repeat(served, 4) + `
+		client send $get\r\n
+		app expect GET
+		app close
+		app2 expect GET
+		app2 send $ok
+		client expect money
+		client send $post\r\nhi
+		app2 wait closed
+		app3 expect hi
+		app3 send $ok
+		client expect money
+		client send $get\r\n
+		app3 expect GET
+		app3 send $ok
+		client expect money`,
 	"turned away unseen, a withdrawal goes out again": `
 		client send $post\r\nhi
 		app expect hi
--- a/core/core.go
+++ b/core/core.go
@@ -71,6 +71,7 @@
 	Server  Server
 	Timeout time.Duration // the core aborts the attempt after it
 	Payload any           // of the request
+	Wary    bool          // not safe to repeat: not for a connection that may have gone stale
 	End     func(Result)  // to be called once, from any goroutine; late calls do no harm
 }
 
@@ -114,6 +115,7 @@
 	counter  Counter
 	log      func(string)
 	gate     *choice.Gate
+	wary     map[string]bool // classes that are not safe to repeat
 	start    time.Time
 	origin   time.Duration // Unix time at start
 
@@ -137,6 +139,10 @@
 		origin: time.Duration(start.UnixNano()), requests: map[uint64]*request{},
 		ids: map[string]uint64{}, servers: map[uint64]Server{}}
 	k.queue.ready = make(chan struct{}, 1)
+	k.wary = map[string]bool{}
+	for _, class := range c.Settings.Classes {
+		k.wary[class.Name] = class.Repeat != choice.Safe
+	}
 	if k.counter == nil {
 		k.set.Counter = false
 	}
--- a/core/request.go
+++ b/core/request.go
@@ -123,7 +123,7 @@
 		return
 	}
 	at.running = c.upstream.Start(Attempt{Server: server, Timeout: timeout, Payload: r.Payload,
-		End: func(res Result) { c.queue.put(func() { c.end(at, res) }) }})
+		Wary: c.wary[r.Class], End: func(res Result) { c.queue.put(func() { c.end(at, res) }) }})
 	c.timers.add(now+timeout, &at.ended, func() { c.abort(at, choice.TimedOut) })
 }
 
--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -45,8 +45,43 @@
 	Config
 	slots chan struct{}
 
-	mu   sync.Mutex
-	idle map[place][]*conn // the one used last at the end
+	mu    sync.Mutex
+	idle  map[place][]*conn // the one used last at the end
+	stale float64           // smoothed share of reused connections that broke without an answer
+}
+
+// Servers and what stands before them may drop a kept connection so that it shows only at the next request,
+// which then may have run. While that happens to more than staleMost of them, what is not safe to repeat goes
+// by new connections. One break in staleWeight of the memory is enough to begin; some 30 good ones end it.
+const (
+	staleWeight = 0.05
+	staleMost   = 0.01
+)
+
+// reused notes what became of a request on a kept connection.
+func (f *Forwarder) reused(broke bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stale *= 1 - staleWeight
+	if broke {
+		f.stale += staleWeight
+	}
+}
+
+// pass closes the connection to a server that has been idle longest, to make room for a new one, if kept ones
+// are not to be trusted with an attempt.
+func (f *Forwarder) pass(a core.Attempt) bool {
+	f.mu.Lock()
+	pass := a.Wary && f.stale > staleMost
+	var oldest *conn
+	if pool := f.idle[placeOf(a.Server)]; pass && len(pool) > 0 {
+		oldest = pool[0]
+	}
+	f.mu.Unlock()
+	if oldest != nil && f.remove(oldest) {
+		oldest.end("made-way")
+	}
+	return pass
 }
 
 // place is where a connection leads. A server that is new may have the address of one that has gone.
@@ -90,6 +125,10 @@
 // Start sends an attempt, on an idle connection if there is one.
 func (f *Forwarder) Start(a core.Attempt) core.Running {
 	x := &exchange{Attempt: a, f: f}
+	if f.pass(a) {
+		go x.dial()
+		return x
+	}
 	if c := f.take(placeOf(a.Server)); c != nil {
 		x.conn = c
 		go x.reuse(c)
@@ -425,13 +464,16 @@
 		return false
 	}
 	c.mu.Lock()
-	x := c.x
+	x, kept := c.x, c.count > 1
 	c.x = nil
 	if cap(c.out) > 16<<10 {
 		c.out = nil
 	}
 	ended := c.ended
 	c.mu.Unlock()
+	if kept {
+		c.f.reused(false)
+	}
 	if !ended {
 		c.f.give(c)
 	}
@@ -446,7 +488,11 @@
 	c.mu.Lock()
 	x := c.x
 	c.x = nil
+	broke := x != nil && c.count > 1 && code == "server-reset" && !c.frames.Started()
 	c.mu.Unlock()
+	if broke {
+		c.f.reused(true)
+	}
 	c.end(code)
 	if x != nil {
 		x.End(res)
