--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -402,11 +402,11 @@
 	return usage{rankSilent, since}
 }
 
-// makeRoom closes a connection that is not being answered.
+// makeRoom closes a connection that is not being answered. One that has ended already makes room by that.
 func (c *conn) makeRoom() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || c.ended {
+	if c.busy && !c.ended {
 		return false
 	}
 	c.end("made-room")
--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -98,10 +98,6 @@
 // right behind, and must not meet the next request.
 const settleTime = 2 * time.Millisecond
 
-// stallTime is how long the rest of an answer may take. The servers send answers whole; one that stops half
-// way would hold its request for nothing.
-const stallTime = 500 * time.Millisecond
-
 // New returns a forwarder.
 func New(c Config) *Forwarder {
 	if c.Limits == (http1.Limits{}) {
