--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -309,8 +309,8 @@
 // Of the sockets an ingress may hold, some are set aside for the counter, discovery, listeners, checks and
 // the runtime, and a part of the rest is for connections to servers.
 const (
-	setAside    = 64
-	serversPart = 0.4
+	setAside    = 48
+	serversPart = 0.3
 )
 
 // sockets is how many connections each front may hold to either side.
--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -47,9 +47,11 @@
 const (
 	requestWait = 2500 * time.Millisecond // to send one request, the first from the time of connecting on
 	answerWait  = 5 * time.Second         // to take an answer
-	idleWait    = 5 * time.Second         // between requests
+	idleWait    = 2 * time.Second         // between requests: clients too have only so many connections
+	busyWait    = 10 * time.Millisecond   // between looks for a connection that could make room
 	lateWait    = 2 * time.Millisecond    // for what came while this program stood still
-	newWait     = 50 * time.Millisecond   // for a request, while connections are short
+	silentWait  = time.Second             // for a request, while connections are short, before idle ones make room
+	newWait     = 100 * time.Millisecond  // for a request, while there is nobody else to make room
 )
 
 // What a client still sends after an error is read and dropped, since to close a connection with unread bytes
@@ -110,10 +112,10 @@
 			select {
 			case s.slots <- struct{}{}:
 				return
-			case <-time.After(newWait): // by then one of them may be answered, and ask nothing
+			case <-time.After(busyWait): // by then one of them may be answered, and ask nothing
 			}
-		case use.rank == rankNew: // its request may be on the way
-			time.Sleep(newWait - time.Since(use.since))
+		case use.rank == rankNew && time.Since(use.since) < newWait:
+			time.Sleep(busyWait)
 		case c.makeRoom():
 			s.slots <- struct{}{}
 			return
@@ -158,6 +160,10 @@
 	<-s.empty
 }
 
+// crowded reports whether more than half of the connections are taken. Answers then close theirs: clients that
+// ask once and stay would soon hold all that they, or this program, may have open, and keep out requests.
+func (s *Server) crowded() bool { return 2*len(s.slots) > cap(s.slots) }
+
 // Draining reports whether the server is on its way out.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
@@ -328,7 +334,7 @@
 		c.mu.Unlock()
 		return
 	}
-	c.last = c.last || c.s.Draining()
+	c.last = c.last || c.s.Draining() || c.s.crowded()
 	c.out = a.Append(c.out[:0], c.last)
 	last := c.last
 	c.mu.Unlock()
@@ -370,14 +376,15 @@
 	since time.Time
 }
 
-// The ranks of connections. One that was answered before is worth more than one that has never asked, unless
-// that has just come.
+// The ranks of connections. A client whose idle connection is closed asks again on another, at worst; one whose
+// first request was not read has failed, and that request may be on its way, or here and unread while this
+// program waits for its turn on the core.
 const (
 	rankOver   = iota // its last answer is out
-	rankSilent        // no whole request has come for newWait
+	rankSilent        // no whole request has come for silentWait
 	rankIdle          // it was answered, and asks nothing
-	rankNew
-	rankBusy // it is being answered: never closed
+	rankNew           // no whole request has come yet
+	rankBusy          // it is being answered: never closed
 )
 
 func (c *conn) usage() usage {
@@ -396,7 +403,7 @@
 	switch {
 	case c.count > 0 && !c.frames.Started():
 		return usage{rankIdle, since}
-	case time.Since(since) < newWait:
+	case time.Since(since) < silentWait:
 		return usage{rankNew, since}
 	}
 	return usage{rankSilent, since}
