--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -50,7 +50,7 @@
 	idleWait    = 2 * time.Second         // between requests: clients too have only so many connections
 	busyWait    = 10 * time.Millisecond   // between looks for a connection that could make room
 	lateWait    = 2 * time.Millisecond    // for what came while this program stood still
-	silentWait  = time.Second             // for a request, while connections are short, before idle ones make room
+	silentWait  = time.Second             // for a request, while connections are short; then it goes
 	newWait     = 100 * time.Millisecond  // for a request, while there is nobody else to make room
 )
 
@@ -160,8 +160,9 @@
 	<-s.empty
 }
 
-// crowded reports whether more than half of the connections are taken. Answers then close theirs: clients that
-// ask once and stay would soon hold all that they, or this program, may have open, and keep out requests.
+// crowded reports whether more than half of the connections are taken. Answers then close theirs: clients
+// that ask once and stay would soon hold all that they, or this program, may have open, and keep out
+// requests.
 func (s *Server) crowded() bool { return 2*len(s.slots) > cap(s.slots) }
 
 // Draining reports whether the server is on its way out.
@@ -376,9 +377,9 @@
 	since time.Time
 }
 
-// The ranks of connections. A client whose idle connection is closed asks again on another, at worst; one whose
-// first request was not read has failed, and that request may be on its way, or here and unread while this
-// program waits for its turn on the core.
+// The ranks of connections. A client whose idle connection is closed asks again on another, at worst; one
+// whose first request was not read has failed, and that request may be on its way, or here and unread while
+// this program waits for its turn on the core.
 const (
 	rankOver   = iota // its last answer is out
 	rankSilent        // no whole request has come for silentWait
--- a/internal/net/accept/accept_test.go
+++ b/internal/net/accept/accept_test.go
@@ -105,7 +105,8 @@
 	}
 }
 
-// Whoever sends nothing, or no whole request, is told or closed within 2.5 s of connecting, however it trickles.
+// Whoever sends nothing, or no whole request, is told or closed within 2.5 s of connecting, however it
+// trickles.
 func TestSilentAndSlowClientsEnd(t *testing.T) {
 	log := serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
 		time.AfterFunc(time.Minute, h.release)
@@ -151,8 +152,8 @@
 	}
 }
 
-// At the limit, who has long been silent makes room before who was answered, who has just come after both, and
-// who is being answered never.
+// At the limit, who has long been silent makes room before who was answered, who has just come after both,
+// and who is being answered never.
 func TestSilentClientsMakeRoomFirst(t *testing.T) {
 	log := serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
 		time.AfterFunc(2400*time.Millisecond, h.release)
@@ -180,8 +181,8 @@
 	}
 }
 
-// While more than half of the connections are taken, answers close theirs: clients that ask once and keep their
-// connections once held all there were, and new requests found none.
+// While more than half of the connections are taken, answers close theirs: clients that ask once and keep
+// their connections once held all there were, and new requests found none.
 func TestAnswersCloseWhileConnectionsAreShort(t *testing.T) {
 	serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
 		scenario.Play(t, n, nil, `
