Ask several issuers, each with a desk: shared questions, reuse, and a breaker

Need: the front asked one fixed list of services. A silent service held up every question until its client's patience ended, the same token asked by many was many questions, and the operator's file was read once.

Change: each issuer has an askers' core, which counts, times and answers each asker, a desk, and a questions' core without quotas that chooses servers and further attempts. The desk uses answers again within their bounds, lets askers of the same token share one question, and leaves an issuer alone that fails or is silent. Quotas hold over all issuers by a counter within the program where there is no other. The operator's file is read again on SIGHUP, whole or not at all; unchanged issuers keep their desks, connections and quotas. Its listener and services speak TLS, plain text only by insecure = true on loopback.

--- a/cmd/dunespoke/introspect_test.go
+++ b/cmd/dunespoke/introspect_test.go
@@ -17,7 +17,7 @@
 `
 
 // scenarios of the front for token introspection. The service at "idp" is a stand-in.
-var questions = map[string]string{
+var questionScripts = map[string]string{
 	"asked and answered": `
 		client send $basic
 		idp expect POST /ask HTTP/1.1
@@ -80,7 +80,8 @@
 		idp send HTTP/1.1 401 Who\r\nContent-Length: 0\r\n\r\n
 		idp expect token=tok
 		idp send $json4\r\n\r\nnull
-		client expect HTTP/1.1 429
+		client expect HTTP/1.1 503
+		client expect Retry-After: 
 		client expect temporarily_unavailable`,
 	"a cut answer is asked again": strings.Repeat(told, 4) + `
 		client send $basic
@@ -119,7 +120,7 @@
 }
 
 func TestQuestions(t *testing.T) {
-	for name, script := range questions {
+	for name, script := range questionScripts {
 		t.Run(name, func(t *testing.T) {
 			if log := play(t, nil, testOperator(""), script); strings.Contains(log, "tok") {
 				t.Errorf("a token is in the log:\n%s", log)
--- /dev/null
+++ b/cmd/dunespoke/questions.go
@@ -0,0 +1,301 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"sync/atomic"
+	"time"
+
+	"dunespoke/choice"
+	"dunespoke/core"
+	"dunespoke/front/introspect"
+	"dunespoke/front/platform"
+	"dunespoke/internal/config"
+	"dunespoke/internal/http1"
+	"dunespoke/internal/localcount"
+	"dunespoke/internal/net/counter"
+	"dunespoke/internal/net/forward"
+	"dunespoke/internal/net/secure"
+)
+
+// questions is the front for token introspection with all that stands behind it.
+type questions struct {
+	p       *program
+	share   sockets
+	front   *introspect.Front
+	listen  *secure.Side // nil: plain text
+	conf    *config.Introspection
+	counts  core.Counter // shared by the askers' cores
+	issuers []*issuer
+	bearer  atomic.Pointer[introspect.Bearer] // nil: requests of the platform need no token
+}
+
+// issuer is one issuer's two cores, and what ends them.
+type issuer struct {
+	conf  config.Issuer
+	parts *introspect.Issuer
+	tls   *secure.Side // nil: plain text
+	ends  []context.CancelFunc
+}
+
+// lanes is the number of backends that the askers' gate takes a desk for. Each bears a dozen askers to begin
+// with and more while answers are quick, so that hundreds may wait for one answer.
+const lanes = 64
+
+// retire is how long the cores of an old configuration go on, for those who still wait there: as long as the
+// longest patience that a client may tell.
+const retire = time.Hour
+
+// startQuestions starts the front for token introspection.
+func (p *program) startQuestions(n *config.Introspection, share sockets) (*questions, error) {
+	q := &questions{p: p, share: share}
+	var local core.Counter = localcount.New()
+	if addr := q.counterOf(n); addr != "" {
+		client := counter.New(addr, 50*time.Millisecond, p.dial, p.log)
+		if p.conf != nil && addr == p.conf.Counter {
+			p.counters = append(p.counters, client)
+		}
+		local = client
+	}
+	q.counts = local
+	options, list, err := q.build(n)
+	if err != nil {
+		return nil, err
+	}
+	q.front = introspect.New(options)
+	q.take(n, list)
+	p.ready = append(p.ready, func() bool { return q.issuers[0].parts.Desk.Questions.Ready() })
+	if n.Listen == "" {
+		return q, nil
+	}
+	if !n.Insecure {
+		if q.listen, err = secure.Server(files(n.TLS), p.log); err != nil {
+			return nil, fmt.Errorf("introspection.tls: %w", err)
+		}
+		go q.listen.Watch(p.work)
+	}
+	return q, p.serve(n.Listen, q.front, share.clients, q.listen)
+}
+
+func files(t config.TLS) secure.Files {
+	return secure.Files{Cert: t.Cert, Key: t.Key, CA: t.CA, Name: t.Name}
+}
+
+func (q *questions) counterOf(n *config.Introspection) string {
+	if n.Counter == "" && q.p.conf != nil {
+		return q.p.conf.Counter
+	}
+	return n.Counter
+}
+
+// guard checks the platform's requests as long as a plan for that is set.
+func (q *questions) guard() platform.Guard { return (*bearerGuard)(q) }
+
+type bearerGuard questions
+
+// Check lets a request on, or sees to it that its token is checked.
+func (g *bearerGuard) Check(r *http1.Request, in core.Request, then func(*http1.Answer)) (leave func()) {
+	b := g.bearer.Load()
+	if b == nil {
+		then(nil)
+		return nil
+	}
+	return b.Check(r, in, then)
+}
+
+// build makes the parts of a configuration. What it has in common with the one in use is used on: desks with
+// what they know, connections, and quotas. Nothing is changed by it.
+func (q *questions) build(n *config.Introspection) (introspect.Options, []*issuer, error) {
+	var o introspect.Options
+	table, err := n.Table()
+	if err != nil {
+		return o, nil, err
+	}
+	gateways := n.Gateways
+	if q.p.conf != nil {
+		gateways = q.p.conf.Settings.Gateways
+	}
+	gateways *= len(n.Issuers) // to each other the askers' cores are what ingresses are
+	o = introspect.Options{Table: table, Path: n.Path, Patience: time.Duration(n.Patience), Gateways: gateways,
+		Draining: q.p.draining}
+	for _, k := range n.Clients {
+		o.Clients = append(o.Clients, introspect.Client{ID: k.ID, Secret: k.Secret, Plan: k.Plan})
+	}
+	var list []*issuer
+	for i := range n.Issuers {
+		s, err := q.issuer(n, &n.Issuers[i], gateways)
+		if err != nil {
+			for _, made := range list {
+				q.end(made, 0)
+			}
+			return o, nil, fmt.Errorf("introspection.issuer[%s]: %w", n.Issuers[i].Name, err)
+		}
+		list = append(list, s)
+		o.Issuers = append(o.Issuers, s.parts)
+	}
+	return o, list, nil
+}
+
+// issuer makes the parts of one issuer, or takes what is there.
+func (q *questions) issuer(n *config.Introspection, conf *config.Issuer, gateways int) (*issuer, error) {
+	s := &issuer{conf: *conf, parts: &introspect.Issuer{}}
+	old := q.known(conf.Name)
+	class := introspect.Class(time.Duration(n.Aim), time.Duration(n.Patience))
+	if old != nil && reflect.DeepEqual(old.conf, *conf) && q.conf.Aim == n.Aim &&
+		q.conf.Freshness() == n.Freshness() && q.conf.Share == n.Share {
+		s.parts.Desk, s.tls = old.parts.Desk, old.tls
+	} else if err := q.desk(s, n, class); err != nil {
+		return nil, err
+	}
+	if old != nil && q.sameAsks(n) {
+		s.parts.Asks = old.parts.Asks
+		return s, nil
+	}
+	// The aim is the patience: it is the issuer that answers late, and that is the questions' gate's matter.
+	asks := introspect.Class(time.Duration(n.Patience), time.Duration(n.Patience))
+	c, end, err := q.core(n.Asks(asks, gateways), introspect.Desks{}, q.counts)
+	if err != nil {
+		q.end(s, 0)
+		return nil, err
+	}
+	all := make([]core.Server, lanes)
+	for i := range all {
+		all[i] = core.Server{Name: fmt.Sprint("lane-", i), State: choice.Live}
+	}
+	c.Servers(true, all)
+	s.parts.Asks, s.ends = c, append(s.ends, end)
+	return s, nil
+}
+
+// sameAsks reports whether the askers' cores in use do for a configuration.
+func (q *questions) sameAsks(n *config.Introspection) bool {
+	return len(q.conf.Issuers) == len(n.Issuers) && q.conf.Patience == n.Patience &&
+		q.conf.Gateways == n.Gateways && reflect.DeepEqual(q.conf.Plans, n.Plans)
+}
+
+// desk makes an issuer's desk, with the core behind it.
+func (q *questions) desk(s *issuer, n *config.Introspection, class choice.Class) error {
+	conf, dial := &s.conf, q.p.dial
+	if !conf.Insecure {
+		side, err := secure.Client(files(conf.TLS), q.p.log)
+		if err != nil {
+			return err
+		}
+		watch, end := context.WithCancel(q.p.work)
+		s.ends = append(s.ends, end)
+		go side.Watch(watch)
+		s.tls, dial = side, side.Dial(secure.Dialer(dial))
+	}
+	set := n.Questions(class, introspect.QuestionPlan())
+	up := forward.New(forward.Config{Dial: dial, Log: q.p.log, DialTimeout: set.DialTimeout,
+		KeepAlive: time.Duration(conf.KeepAlive), Connections: max(1, q.share.servers/len(n.Issuers)),
+		Judge: introspect.Judge})
+	c, end, err := q.core(set, introspect.Attempts{Upstream: up, Limit: time.Duration(conf.Attempt)}, nil)
+	if err != nil {
+		return err
+	}
+	s.ends = append(s.ends, end)
+	servers := make([]core.Server, 0, len(conf.Servers))
+	for _, addr := range conf.Servers {
+		servers = append(servers, core.Server{Name: addr, Addr: addr, State: choice.Live})
+	}
+	c.Servers(true, servers)
+	s.parts.Desk = introspect.NewDesk(introspect.DeskOptions{Issuer: conf.Name, Questions: c,
+		Service: introspect.Service{Path: conf.Path, Host: conf.Host, ClientID: conf.ClientID, Secret: conf.Secret},
+		Limit:   time.Duration(conf.Limit), Silence: time.Duration(conf.Silence), Alone: !n.Share,
+		Breaker: conf.Options(), Freshness: n.Freshness(), Log: q.p.log})
+	return nil
+}
+
+func (q *questions) core(set choice.Settings, up core.Upstream, counts core.Counter) (*core.Core,
+	context.CancelFunc, error) {
+	c, err := core.New(core.Config{Settings: set, Seed: uint64(time.Now().UnixNano()), Upstream: up,
+		Counter: counts, Log: q.p.decision})
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, end := context.WithCancel(q.p.work)
+	go c.Run(ctx)
+	return c, end, nil
+}
+
+// known is the issuer in use by a name.
+func (q *questions) known(name string) *issuer {
+	for _, s := range q.issuers {
+		if s.conf.Name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// take notes what is in use now, and ends what no longer is, in its time.
+func (q *questions) take(n *config.Introspection, list []*issuer) {
+	for _, old := range q.issuers {
+		used := func(s *issuer) bool { return s.parts.Desk == old.parts.Desk || s.parts.Asks == old.parts.Asks }
+		handed := false
+		for _, s := range list {
+			if used(s) {
+				s.ends, handed = append(s.ends, old.ends...), true
+				break
+			}
+		}
+		if !handed {
+			q.end(old, retire)
+		}
+	}
+	q.conf, q.issuers = n, list
+	if n.Bearer.Plan == "" {
+		q.bearer.Store(nil)
+	} else {
+		q.bearer.Store(&introspect.Bearer{Front: q.front, Plan: n.Bearer.Plan})
+	}
+}
+
+// end ends an issuer's cores after a time.
+func (q *questions) end(s *issuer, after time.Duration) {
+	for _, end := range s.ends {
+		if after == 0 {
+			end()
+			continue
+		}
+		time.AfterFunc(after, end)
+	}
+}
+
+// reload goes on by a configuration read again, or by the one in use if it can't be used.
+func (q *questions) reload(n *config.Introspection) error {
+	var kept []string
+	if n.Listen != q.conf.Listen || n.Insecure != q.conf.Insecure || n.TLS != q.conf.TLS {
+		kept = append(kept, "introspection.listen, insecure and tls")
+	}
+	if n.Counter != q.conf.Counter {
+		kept = append(kept, "introspection.counter")
+	}
+	if (n.Bearer.Plan != "") && q.p.conf != nil && !q.p.guarded {
+		kept = append(kept, "introspection.bearer.plan")
+	}
+	if !n.On() {
+		return fmt.Errorf("introspection is switched off in it: that needs a restart")
+	}
+	options, list, err := q.build(n)
+	if err != nil {
+		return err
+	}
+	if len(kept) > 0 {
+		q.p.log.Warn().Str("code", "reload-needs-restart").Strs("settings", kept).Msg("changed, and not taken")
+	}
+	n.Listen, n.Insecure, n.TLS, n.Counter = q.conf.Listen, q.conf.Insecure, q.conf.TLS, q.conf.Counter
+	q.front.Use(options)
+	q.take(n, list)
+	if q.listen != nil {
+		q.listen.Reload()
+	}
+	for _, s := range list {
+		if s.tls != nil {
+			s.tls.Reload()
+		}
+	}
+	return nil
+}
--- a/cmd/dunespoke/scenario_test.go
+++ b/cmd/dunespoke/scenario_test.go
@@ -45,9 +45,8 @@
 	n.Listen, n.Path, n.Gateways = "ingress", "/introspect", 1
 	n.Patience, n.Aim = config.Duration(3*time.Second), config.Duration(time.Second)
 	n.CacheFor = config.Duration(time.Minute)
-	n.Service.Servers, n.Service.Path = []string{"idp"}, "/ask"
-	n.Service.KeepAlive = config.Duration(10 * time.Second)
-	n.Service.ClientID, n.Service.Secret = "dunespoke", "s3cret"
+	n.Share, n.Insecure = true, true
+	n.Issuers = []config.Issuer{testIssuer("service", "idp")}
 	n.Plans = []config.Plan{{Name: "few", Rate: 0.1, Burst: 12}}
 	n.Clients = []config.Client{{ID: "a", Plan: "few", Secret: sha256.Sum256([]byte("b"))}}
 	if bearer != "" {
@@ -56,6 +55,13 @@
 	return o
 }
 
+// testIssuer is an issuer with one server.
+func testIssuer(name, server string) config.Issuer {
+	return config.Issuer{Name: name, Servers: []string{server}, Path: "/ask", Insecure: true,
+		KeepAlive: config.Duration(10 * time.Second), Limit: config.Duration(3 * time.Second),
+		Silence: config.Duration(500 * time.Millisecond), ClientID: "dunespoke", Secret: "s3cret"}
+}
+
 var words = map[string]string{
 	"get": `GET /enquiry?account=0000000000000007 HTTP/1.1\r\nHost: h\r\nX-Lane: enquiry\r\n$head`,
 	"post": `POST /withdrawal?account=0000000000000007 HTTP/1.1\r\nHost: h\r\nX-Lane: withdrawal\r\n` +
--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -18,7 +18,6 @@
 	"dunespoke/agentcheck"
 	"dunespoke/choice"
 	"dunespoke/core"
-	"dunespoke/front/introspect"
 	"dunespoke/front/platform"
 	"dunespoke/internal/config"
 	"dunespoke/internal/http1"
@@ -27,6 +26,7 @@
 	"dunespoke/internal/net/direct"
 	"dunespoke/internal/net/discovery"
 	"dunespoke/internal/net/forward"
+	"dunespoke/internal/net/secure"
 )
 
 // program is the parts of a running ingress.
@@ -36,13 +36,16 @@
 	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 	work    context.Context // ends when all that was taken is answered
 	servers []*accept.Server
-	cores   []*core.Core
+	ready   []func() bool // of each front
 	failed  chan error
 	stops   atomic.Bool // told to stop
 
 	conf     *config.Platform // as last read; nil without the platform
 	watcher  *discovery.Watcher
 	counters []mover // of the platform's counter
+
+	questions *questions // nil without the front for token introspection
+	guarded   bool       // the platform's requests pass a guard that may ask for tokens
 }
 
 // mover is what goes by an address that a new configuration may change.
@@ -79,7 +82,7 @@
 		case err := <-p.failed:
 			return err
 		case <-reload:
-			p.reload(config.ReadPlatform(getenv))
+			p.reloadAll(getenv)
 		case <-ctx.Done():
 		}
 	}
@@ -89,14 +92,36 @@
 	return nil
 }
 
+// reloadAll reads again what the program was started with.
+func (p *program) reloadAll(getenv func(string) string) {
+	if p.conf != nil {
+		p.reload(config.ReadPlatform(getenv))
+	}
+	if path := getenv("DUNESPOKE_OPERATOR"); path != "" {
+		p.reloadOperator(config.ReadOperator(path, getenv))
+	}
+}
+
+// reloadOperator takes an operator's file as read again, whole or not at all; or the error of that.
+func (p *program) reloadOperator(o *config.Operator, err error) {
+	if err == nil && p.questions != nil {
+		err = p.questions.reload(&o.Introspection)
+	}
+	switch {
+	case err != nil:
+		p.log.Warn().Str("code", "reload-failed").Err(err).Msg("the operator's settings stay as they were")
+	case p.questions == nil:
+		p.log.Warn().Str("code", "reload-needs-restart").Msg("nothing of the operator's file that is on can change")
+	default:
+		p.log.Info().Str("code", "reloaded").Int("issuers", len(o.Introspection.Issuers)).
+			Int("clients", len(o.Introspection.Clients)).Msg("operator's file read again")
+	}
+}
+
 // reload takes the platform's configuration as read again, or the error of that, and goes on at the addresses
 // of discovery and the counter that it names. A file that can't be used changes nothing. All that is kept or
 // under way stays as it is.
 func (p *program) reload(conf *config.Platform, err error) {
-	if p.conf == nil {
-		p.log.Warn().Str("code", "reload-failed").Msg("there is no platform's configuration to read")
-		return
-	}
 	if err != nil {
 		p.log.Warn().Str("code", "reload-failed").Err(err).Msg("the configuration stays as it was")
 		return
@@ -124,18 +149,19 @@
 	}
 	asks := operator.Introspection.On()
 	share := bound(limits, conf != nil, asks)
-	var bearer platform.Guard
+	var guard platform.Guard
 	if asks {
-		front, err := p.questions(&operator.Introspection, conf, share)
+		q, err := p.startQuestions(&operator.Introspection, share)
 		if err != nil {
 			return err
 		}
-		if plan := operator.Introspection.Bearer.Plan; plan != "" {
-			bearer = &introspect.Bearer{Front: front, Plan: plan}
+		p.questions = q
+		if conf != nil {
+			guard, p.guarded = q.guard(), true
 		}
 	}
 	if conf != nil {
-		if err := p.platform(conf, bearer, share); err != nil {
+		if err := p.platform(conf, guard, share); err != nil {
 			return err
 		}
 	}
@@ -170,43 +196,8 @@
 	}
 	p.watcher = discovery.NewWatcher(conf.Discovery, c.Servers, p.dial, p.log)
 	go p.watcher.Run(p.work, known)
-	return p.serve(conf.Listen, platform.New(c, conf.Settings, p.draining, guard), share.clients)
-}
-
-// questions starts the front for token introspection.
-func (p *program) questions(n *config.Introspection, conf *config.Platform, share sockets) (*introspect.Front,
-	error) {
-	quota := n.Counter
-	if quota == "" && conf != nil {
-		quota = conf.Counter
-	}
-	class := introspect.Class(time.Duration(n.Aim), time.Duration(n.Patience))
-	settings := n.Settings(class, quota != "")
-	if conf != nil {
-		settings.Gateways = conf.Settings.Gateways
-	}
-	c, err := p.core(settings, uint64(time.Now().UnixNano()), quota, forward.Config{
-		DialTimeout: settings.DialTimeout, KeepAlive: time.Duration(n.Service.KeepAlive),
-		Connections: share.servers, Judge: introspect.Judge})
-	if err != nil {
-		return nil, err
-	}
-	services := make([]core.Server, 0, len(n.Service.Servers))
-	for _, addr := range n.Service.Servers {
-		services = append(services, core.Server{Name: addr, Addr: addr, State: choice.Live})
-	}
-	c.Servers(true, services)
-	options := introspect.Options{Core: c, Path: n.Path, Patience: time.Duration(n.Patience),
-		Gateways: settings.Gateways, CacheFor: time.Duration(n.CacheFor), Draining: p.draining,
-		Service: introspect.Service{Path: n.Service.Path, ClientID: n.Service.ClientID, Secret: n.Service.Secret}}
-	for _, k := range n.Clients {
-		options.Clients = append(options.Clients, introspect.Client{ID: k.ID, Secret: k.Secret, Plan: k.Plan})
-	}
-	front := introspect.New(options)
-	if n.Listen == "" {
-		return front, nil
-	}
-	return front, p.serve(n.Listen, front, share.clients)
+	p.ready = append(p.ready, c.Ready)
+	return p.serve(conf.Listen, platform.New(c, conf.Settings, p.draining, guard), share.clients, nil)
 }
 
 // core starts a core with its upstream and its counter.
@@ -222,25 +213,31 @@
 	}
 	up.Dial, up.Log = p.dial, p.log
 	c, err := core.New(core.Config{Settings: set, Seed: seed, Upstream: forward.New(up), Counter: count,
-		Log: func(line string) { p.log.Warn().Str("code", "decision").Msg(line) }})
+		Log: p.decision})
 	if err != nil {
 		return nil, err
 	}
 	go c.Run(p.work)
-	p.cores = append(p.cores, c)
 	return c, nil
 }
 
-// serve takes a front's clients.
-func (p *program) serve(addr string, h accept.Handler, clients int) error {
+// decision takes the lines of a gate for on-call staff.
+func (p *program) decision(line string) { p.log.Warn().Str("code", "decision").Msg(line) }
+
+// serve takes a front's clients, by TLS if there is a side for it.
+func (p *program) serve(addr string, h accept.Handler, clients int, side *secure.Side) error {
 	l, err := p.listen("tcp", addr)
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
+	if side != nil {
+		l = side.Listener(l)
+	}
 	s := accept.New(l, h, clients, p.log)
 	p.servers = append(p.servers, s)
 	go func() { p.failed <- s.Serve() }()
-	p.log.Info().Str("code", "started").Str("listen", addr).Int("clients", clients).Msg("serving")
+	p.log.Info().Str("code", "started").Str("listen", addr).Bool("tls", side != nil).Int("clients", clients).
+		Msg("serving")
 	return nil
 }
 
@@ -278,8 +275,8 @@
 		return agentcheck.Report{State: agentcheck.Draining}
 	}
 	weight := 100
-	for _, c := range p.cores {
-		if !c.Ready() {
+	for _, ready := range p.ready {
+		if !ready() {
 			return agentcheck.Report{State: agentcheck.Down}
 		}
 	}
--- a/front/introspect/ask.go
+++ b/front/introspect/ask.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"dunespoke/choice"
@@ -13,42 +15,49 @@
 	"dunespoke/internal/http1"
 )
 
-// ClassName is the class under which the gate counts and times questions. It is safe to repeat.
+// ClassName is the class under which the gates count and time questions. It is safe to repeat.
 const ClassName = "introspection"
 
-// Class returns the gate's class of questions.
+// Class returns the gates' class of questions.
 func Class(aim, deadline time.Duration) choice.Class {
 	return choice.Class{Name: ClassName, Repeat: choice.Safe, Aim: aim, Deadline: deadline, Worth: 1}
 }
 
-// Service says how the introspection service is asked.
+// Service says how an introspection service is asked.
 type Service struct {
 	Path     string
+	Host     string // for the Host header; empty: the address of the server
 	ClientID string // what this program is known as there; empty: it asks without credentials
 	Secret   string
 }
 
-// question is one question to the service. It is a forward.Message.
-type question struct {
+// message is one question as it goes to a service. It is a forward.Message.
+type message struct {
 	service     *Service
 	token, hint string
+	begun       atomic.Int32 // attempts begun
+	sent        atomic.Int32 // attempts that said something of the service
 }
 
 // Append writes the question.
-func (q *question) Append(buf []byte, s core.Server, wait time.Duration) []byte {
-	form := url.Values{"token": {q.token}}
-	if q.hint != "" {
-		form.Set("token_type_hint", q.hint)
+func (m *message) Append(buf []byte, s core.Server, _ time.Duration) []byte {
+	form := url.Values{"token": {m.token}}
+	if m.hint != "" {
+		form.Set("token_type_hint", m.hint)
+	}
+	host := m.service.Host
+	if host == "" {
+		host = s.Addr
 	}
 	body := form.Encode()
 	buf = append(buf, "POST "...)
-	buf = append(buf, q.service.Path...)
+	buf = append(buf, m.service.Path...)
 	buf = append(buf, " HTTP/1.1\r\n"...)
-	buf = http1.AppendHeader(buf, "Host", s.Addr)
+	buf = http1.AppendHeader(buf, "Host", host)
 	buf = http1.AppendHeader(buf, "Accept", "application/json")
 	buf = http1.AppendHeader(buf, "Content-Type", "application/x-www-form-urlencoded")
-	if q.service.ClientID != "" {
-		pair := url.QueryEscape(q.service.ClientID) + ":" + url.QueryEscape(q.service.Secret)
+	if m.service.ClientID != "" {
+		pair := url.QueryEscape(m.service.ClientID) + ":" + url.QueryEscape(m.service.Secret)
 		buf = http1.AppendHeader(buf, "Authorization", "Basic "+base64.StdEncoding.EncodeToString([]byte(pair)))
 	}
 	buf = http1.AppendHeader(buf, "Content-Length", strconv.Itoa(len(body)))
@@ -56,14 +65,17 @@
 	return append(buf, body...)
 }
 
-// Token is what the service says of a token.
+// Token is what a service says of a token.
 type Token struct {
 	Active  bool          `json:"active"`
 	Expires time.Duration `json:"-"` // Unix time from which it is not active any more; 0: not told
+	Date    time.Duration `json:"-"` // the service's Unix time with its answer; 0: not told
 	Text    []byte        `json:"-"` // the service's whole answer
 }
 
-// Judge says what a response of the service means. Only a whole, well-formed answer says anything of a token;
+var errNoActive = errors.New(`the answer has no "active"`)
+
+// Judge says what a response of a service means. Only a whole, well-formed answer says anything of a token;
 // whatever else comes back is a fault of the service, and never taken for an inactive token.
 func Judge(r *http1.Response) core.Result {
 	switch r.StatusCode {
@@ -72,6 +84,9 @@
 		if err != nil {
 			return core.Result{Code: choice.Error}
 		}
+		if date, err := http.ParseTime(r.Header.Get("Date")); err == nil && date.Unix() > 0 {
+			token.Date = time.Duration(date.UnixNano())
+		}
 		return core.Result{Code: choice.OK, Body: token}
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return core.Result{Code: choice.Busy}
--- a/front/introspect/bearer.go
+++ b/front/introspect/bearer.go
@@ -22,31 +22,27 @@
 // attempts of the check alone. The request has not been sent on yet, so that any answer from here is one to
 // a request that never ran.
 func (b *Bearer) Check(r *http1.Request, in core.Request, then func(*http1.Answer)) (leave func()) {
-	f := b.Front
 	token, problem := bearerToken(r)
 	if problem != nil {
 		then(problem)
 		return nil
 	}
-	if f.cache.get("", token, f.Core.Now()) != nil {
-		then(nil)
-		return nil
-	}
-	return f.ask(core.Request{Plan: b.Plan, Customer: in.Customer | customerBit, Units: 1, Spread: in.Spread,
-		Deadline: in.Deadline}, token, "access_token", func(a core.Answer) { then(b.verdict(token, a)) })
+	now := b.Front.now.Load()
+	return now.ask(core.Request{Plan: b.Plan, Customer: in.Customer | customerBit,
+		Spread: in.Spread * len(now.Issuers), Deadline: in.Deadline}, token, "access_token",
+		func(v verdict) { then(now.bearer(v)) })
 }
 
-func (b *Bearer) verdict(token string, a core.Answer) *http1.Answer {
-	if a.Kind != core.Served {
-		return b.Front.word(a)
-	}
-	now, t := b.Front.Core.Now(), a.Body.(*Token)
-	if !t.Active || t.Expires > 0 && t.Expires <= now {
+// bearer turns a verdict into the answer to the request that came with the token; nil lets it on.
+func (s *setup) bearer(v verdict) *http1.Answer {
+	switch {
+	case v.active(s.clock()):
+		return nil
+	case v.kind == core.Served:
 		return unauthorized(`Bearer error="invalid_token", error_description="the token is not active"`,
 			"invalid_token")
 	}
-	b.Front.cache.put("", token, t, now)
-	return nil
+	return s.word(v)
 }
 
 // bearerToken reads the token from the Authorization header, the one way that RFC 6750 asks all to support.
--- a/front/introspect/introspect.go
+++ b/front/introspect/introspect.go
@@ -1,14 +1,15 @@
 // Package introspect is the front for OAuth 2 token introspection (RFC 7662). It answers such questions of
-// member apps by asking an introspection service, and it checks the bearer tokens of other fronts' requests
-// (RFC 6750). Each question is a request of the core: counted against a quota, timed, and refused like any
-// other work. A question that was refused or got no answer is never answered with "active": false.
+// member apps by asking the services of the tokens' issuers, and it checks the bearer tokens of other fronts'
+// requests (RFC 6750). Each question is a request of a core: counted against a quota, timed, and refused like
+// any other work. A question that was refused or got no answer is never answered with "active": false.
+//
+// A question goes from Front to the askers' core of its issuer, from there to the issuer's Desk, and, unless
+// that has its answer, to the issuer's questions' core, which puts it to one of the issuer's servers. See
+// docs/design/introspection.md for the reasons.
 package introspect
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/json"
-	"errors"
 	"hash/fnv"
 	"io"
 	"math"
@@ -16,38 +17,38 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"dunespoke/core"
 	"dunespoke/internal/http1"
+	"dunespoke/internal/issuers"
 )
 
-var errNoActive = errors.New(`the answer has no "active"`)
-
-// Client may ask questions.
-type Client struct {
-	ID     string
-	Secret [sha256.Size]byte // SHA-256 of its secret
-	Plan   string
+// Issuer answers for some of the tokens.
+type Issuer struct {
+	Desk *Desk
+	Asks *core.Core // the askers' core; its upstream is Desks
 }
 
-// Options are what New needs.
+// Options are what New and Front.Use need.
 type Options struct {
-	Core     *core.Core
-	Service  Service
-	Path     string        // where questions come in
-	Patience time.Duration // of clients that don't tell theirs by X-Remaining
-	Gateways int           // through which a client's questions arrive
+	Issuers  []*Issuer      // at least one
+	Table    *issuers.Table // whose indexes are those of Issuers
+	Path     string         // where questions come in
+	Patience time.Duration  // of clients that don't tell theirs by X-Remaining
+	Gateways int            // through which a client's questions arrive, the issuers' cores counted apart
 	Clients  []Client
-	CacheFor time.Duration // how long an active token's answer may be reused; 0: never
-	Draining func() bool   // whether the program is on its way out
+	Draining func() bool // whether the program is on its way out
 }
 
 // Front answers questions. It is an accept.Handler.
-type Front struct {
+type Front struct{ now atomic.Pointer[setup] }
+
+// setup is what the front goes by. One question goes by one setup from its beginning to its end.
+type setup struct {
 	Options
 	clients map[string]Client
-	cache   *cache
 }
 
 // margin is how long before the client gives up its answer is due.
@@ -55,11 +56,18 @@
 
 // New returns a front.
 func New(o Options) *Front {
-	f := &Front{Options: o, clients: map[string]Client{}, cache: newCache(o.CacheFor)}
+	f := &Front{}
+	f.Use(o)
+	return f
+}
+
+// Use makes the front go by other options from now on. Questions under way end by those they began with.
+func (f *Front) Use(o Options) {
+	s := &setup{Options: o, clients: map[string]Client{}}
 	for _, c := range o.Clients {
-		f.clients[c.ID] = c
+		s.clients[c.ID] = c
 	}
-	return f
+	f.now.Store(s)
 }
 
 // Customer is the number under which quotas are counted for a named client. Its highest bit tells it from the
@@ -72,16 +80,17 @@
 
 // Serve takes a question.
 func (f *Front) Serve(r *http1.Request, respond func(*http1.Answer)) (leave func()) {
-	arrived := f.Core.Now()
+	s := f.now.Load()
+	arrived := s.clock()
 	switch {
 	case r.URL.Path == "/healthz":
-		if f.Core.Ready() && !f.Draining() {
+		if s.ready() && !s.Draining() {
 			respond(http1.Plain(200, "ok"))
 		} else {
 			respond(http1.Plain(503, "draining, or no introspection service known"))
 		}
 		return nil
-	case r.URL.Path != f.Path:
+	case r.URL.Path != s.Path:
 		respond(http1.Plain(404, "no such path"))
 		return nil
 	case r.Method != http.MethodPost:
@@ -93,58 +102,102 @@
 		respond(problem)
 		return nil
 	}
-	client, problem := f.authenticate(r, form)
+	client, problem := s.authenticate(r, form)
 	if problem != nil {
 		respond(problem)
 		return nil
 	}
 	token := form.Get("token")
-	patience, ok := f.patience(r.Header.Get("X-Remaining"))
+	patience, ok := s.patience(r.Header.Get("X-Remaining"))
 	if token == "" || !ok {
 		respond(problemOf(400, "invalid_request", "token is missing, or X-Remaining is not in seconds"))
 		return nil
 	}
-	if text := f.cache.get(client.ID, token, arrived); text != nil {
-		respond(jsonAnswer(200, text))
+	return s.ask(core.Request{Plan: client.Plan, Customer: Customer(client.ID), Spread: s.Gateways,
+		Deadline: arrived + patience - margin}, token, form.Get("token_type_hint"),
+		func(out verdict) { respond(s.word(out)) })
+}
+
+// clock is the time that all cores of the front share.
+func (s *setup) clock() time.Duration { return s.Issuers[0].Asks.Now() }
+
+func (s *setup) ready() bool {
+	for _, i := range s.Issuers {
+		if i.Desk.Questions.Ready() {
+			return true
+		}
+	}
+	return false
+}
+
+// verdict is the front's one answer to a question.
+type verdict struct {
+	outcome
+	kind    core.Kind
+	trouble bool // refused for the issuer's sake, not for the asker's
+}
+
+// ask finds the answer to a question by way of the cores.
+func (s *setup) ask(in core.Request, token, hint string, then func(verdict)) (leave func()) {
+	route := s.Table.Route(token)
+	if len(route) == 0 { // nobody here answers for such tokens, so that no resource of ours takes it
+		then(verdict{outcome: outcome{token: &Token{}}, kind: core.Served})
 		return nil
 	}
-	return f.ask(core.Request{Plan: client.Plan, Customer: Customer(client.ID), Units: 1, Spread: f.Gateways,
-		Deadline: arrived + patience - margin}, token, form.Get("token_type_hint"), func(a core.Answer) {
-		if t, ok := a.Body.(*Token); ok && a.Kind == core.Served {
-			f.cache.put(client.ID, token, t, f.Core.Now())
+	q := &question{token: token, hint: hint, key: keyOf(token, hint), taken: s.clock()}
+	for _, i := range route {
+		q.route = append(q.route, s.Issuers[i])
+	}
+	if len(route) == 1 {
+		if out := q.route[0].Desk.atOnce(q.key, q.taken); out != nil {
+			then(verdictOf(*out))
+			return nil
+		}
+	}
+	in.Class, in.Units, in.Payload = ClassName, 1, q
+	in.Reply = func(a core.Answer) {
+		if out, ok := a.Body.(outcome); ok && a.Kind == core.Served {
+			then(verdictOf(out))
+			return
 		}
-		respond(f.word(a))
-	})
+		then(verdict{outcome: outcome{after: a.RetryAfter}, kind: a.Kind})
+	}
+	return q.route[0].Asks.Submit(in).Leave
 }
 
-// ask puts a question to the service by way of the core.
-func (f *Front) ask(in core.Request, token, hint string, reply func(core.Answer)) (leave func()) {
-	in.Class = ClassName
-	in.Payload = &question{service: &f.Service, token: token, hint: hint}
-	in.Reply = reply
-	return f.Core.Submit(in).Leave
+func verdictOf(out outcome) verdict {
+	if out.token == nil {
+		return verdict{outcome: out, kind: core.Refused, trouble: true}
+	}
+	return verdict{outcome: out, kind: core.Served}
+}
+
+// active reports whether the token is active now: a token may end while its question waits.
+func (v verdict) active(now time.Duration) bool {
+	return v.kind == core.Served && v.token.Active && (v.token.Expires == 0 || now < v.token.Expires)
 }
 
 // patience is how long the client waits for an answer.
-func (f *Front) patience(header string) (time.Duration, bool) {
+func (s *setup) patience(header string) (time.Duration, bool) {
 	if header == "" {
-		return f.Patience, true
+		return s.Patience, true
 	}
 	seconds, ok := http1.Decimal(header)
 	return time.Duration(seconds * float64(time.Second)), ok && seconds < 3600
 }
 
-// word turns the core's answer into the client's.
-func (f *Front) word(a core.Answer) *http1.Answer {
-	switch a.Kind {
-	case core.Served:
-		t := a.Body.(*Token)
-		if !t.Active || t.Expires > 0 && t.Expires <= f.Core.Now() {
-			return jsonAnswer(200, []byte(`{"active":false}`)) // RFC 7662, 2.2: nothing else is told of such a token
-		}
-		return jsonAnswer(200, t.Text)
-	case core.Refused:
-		return withRetry(problemOf(429, "temporarily_unavailable", "refused: ask again later"), a.RetryAfter)
+// word turns a verdict into the client's answer.
+func (s *setup) word(v verdict) *http1.Answer {
+	switch {
+	case v.active(s.clock()):
+		return jsonAnswer(200, v.token.Text)
+	case v.kind == core.Served:
+		return jsonAnswer(200, []byte(`{"active":false}`)) // RFC 7662, 2.2: nothing else is told of such a token
+	case v.trouble:
+		return withRetry(problemOf(503, "temporarily_unavailable",
+			"the issuer's service does not answer: ask again later"), v.after)
+	case v.kind == core.Refused:
+		return withRetry(problemOf(429, "temporarily_unavailable", "refused: ask again later"), v.after)
 	}
 	return problemOf(502, "server_error", "the introspection service gave no answer")
 }
@@ -167,31 +220,6 @@
 	return form, nil
 }
 
-// authenticate tells which client asks, by client_secret_basic or client_secret_post (RFC 6749, 2.3.1).
-func (f *Front) authenticate(r *http1.Request, form url.Values) (Client, *http1.Answer) {
-	id, secret, basic := r.BasicAuth()
-	if basic {
-		if form.Has("client_secret") {
-			return Client{}, problemOf(400, "invalid_request", "two ways of client authentication")
-		}
-		var err1, err2 error
-		id, err1 = url.QueryUnescape(id)
-		secret, err2 = url.QueryUnescape(secret)
-		if err := errors.Join(err1, err2); err != nil {
-			return Client{}, problemOf(400, "invalid_request", "malformed credentials")
-		}
-	} else {
-		id, secret = form.Get("client_id"), form.Get("client_secret")
-	}
-	client, known := f.clients[id]
-	sum := sha256.Sum256([]byte(secret))
-	if subtle.ConstantTimeCompare(sum[:], client.Secret[:]) != 1 || !known {
-		a := problemOf(401, "invalid_client", "client authentication failed")
-		return Client{}, withHeader(a, "WWW-Authenticate", `Basic realm="introspection"`)
-	}
-	return client, nil
-}
-
 // problemOf is an error response of RFC 6749, 5.2.
 func problemOf(status int, code, description string) *http1.Answer {
 	text, _ := json.Marshal(map[string]string{"error": code, "error_description": description})
--- a/front/introspect/introspect_test.go
+++ b/front/introspect/introspect_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"testing"
-	"time"
 
 	"dunespoke/choice"
 	"dunespoke/internal/http1"
@@ -33,30 +32,6 @@
 	}
 }
 
-func TestCacheKeepsWithinBounds(t *testing.T) {
-	c := newCache(time.Minute)
-	active := &Token{Active: true, Expires: 100 * time.Second, Text: []byte("x")}
-	c.put("a", "t", active, 70*time.Second)
-	c.put("a", "inactive", &Token{Expires: 100 * time.Second}, 0)
-	c.put("a", "endless", &Token{Active: true}, 0)
-	for _, at := range []struct {
-		client, token string
-		now           time.Duration
-		kept          bool
-	}{{"a", "t", 99 * time.Second, true}, {"b", "t", 99 * time.Second, false}, {"a", "inactive", 0, false},
-		{"a", "endless", 0, false}, {"a", "t", 100 * time.Second, false}, {"a", "t", 99 * time.Second, false}} {
-		if kept := c.get(at.client, at.token, at.now) != nil; kept != at.kept {
-			t.Errorf("%+v: kept %v", at, kept)
-		}
-	}
-	for i := range mostCached + 100 {
-		c.put("a", string(rune(i+0x10000)), active, 0)
-	}
-	if len(c.all) > mostCached {
-		t.Errorf("%d answers kept, at most %d wanted", len(c.all), mostCached)
-	}
-}
-
 // Whatever a service answers, it counts as an answer only where other readers of JSON see the same in it.
 func FuzzJudge(f *testing.F) {
 	f.Add(`{"active":true,"exp":1.5e9}`)
--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -61,6 +61,10 @@
 	return nil
 }
 
+// enough is the number of questions out at which a returning service has shown itself: beyond it, the limits
+// of whoever puts the questions follow how fast it answers.
+const enough = 32
+
 // State is what a breaker lets through.
 type State int
 
@@ -114,6 +118,9 @@
 // State tells the present state.
 func (b *Breaker) State() State { return b.state }
 
+// Usual tells the smoothed time of good answers; 0: there was none yet.
+func (b *Breaker) Usual() time.Duration { return b.usual }
+
 // Out tells how many questions are out.
 func (b *Breaker) Out() int { return b.out }
 
@@ -166,7 +173,9 @@
 	}
 	switch end {
 	case Good:
-		b.usual += (took - b.usual) / 8
+		if b.usual += (took - b.usual) / 8; b.usual == 0 || b.usual == took/8 {
+			b.usual = took
+		}
 		b.learn(now, p, false)
 	case Bad:
 		if !p.late {
@@ -194,7 +203,7 @@
 	case b.state == Returning && bad:
 		b.open(now, min(2*b.rest, b.set.MostRest))
 	case b.state == Returning:
-		if b.allowed++; b.allowed >= float64(b.set.MostOut) {
+		if b.allowed++; b.allowed >= float64(min(b.set.MostOut, enough)) {
 			b.enter(Closed)
 		}
 	case bad:
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -68,10 +68,10 @@
 		{`servers = ["127.0.0.1:8801"]`, `servers = []`}:  "nobody to ask",
 		{`plan = ""  `, `plan = "gold"`}:                  `no plan "gold"`,
 		{`plan = "member"`, `plan = "silver"`}:            `no plan "silver"`,
-		{`secret_sha256 = "4b`, `secret_sha256 = "`}:      "not a SHA-256",
+		{`secret_sha256 = "4b`, `secret_sha256 = "`}:      "want a SHA-256",
 		{`secret_env = ""`, `secret_env = "NOT_SET"`}:     "NOT_SET is not set",
 		{`patience = "3s"`, `patience = "-3s"`}:           "must not be negative",
-		{`gateways = 1`, "gateways = 1\nsurprise = true"}: "unknown key introspection.surprise",
+		{`gateways = 1`, "gateways = 1\nsurprise = true"}: "introspection.surprise: unknown key",
 	} {
 		text := strings.Replace(string(good), change[0], change[1], 1)
 		path := filepath.Join(t.TempDir(), "operator.toml")
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,15 +1,15 @@
 package config
 
 import (
-	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"net"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
-
-	"dunespoke/choice"
 )
 
 // Operator is an operator's file: what the platform does not tell. Without one, all of this is off.
@@ -24,46 +24,6 @@
 	Health string `toml:"health"` // for GET /health and GET /ready
 }
 
-// Introspection sets up the front for OAuth 2 token introspection. An empty Listen leaves it off, and an
-// empty Bearer.Plan leaves checks of the platform's requests off.
-type Introspection struct {
-	Listen   string   `toml:"listen"`
-	Path     string   `toml:"path"`
-	Patience Duration `toml:"patience"` // of clients that don't tell theirs
-	Aim      Duration `toml:"aim"`      // answers over a part of this count as late
-	CacheFor Duration `toml:"cache_for"`
-	Counter  string   `toml:"counter"` // of quotas; empty: the platform's, if there is one
-	Gateways int      `toml:"gateways"`
-	Service  struct {
-		Servers   []string `toml:"servers"`
-		Path      string   `toml:"path"`
-		ClientID  string   `toml:"client_id"`
-		SecretEnv string   `toml:"secret_env"` // the environment variable that holds its secret
-		KeepAlive Duration `toml:"keep_alive"`
-		Secret    string   `toml:"-"`
-	} `toml:"service"`
-	Clients []Client `toml:"client"`
-	Plans   []Plan   `toml:"plan"`
-	Bearer  struct {
-		Plan string `toml:"plan"`
-	} `toml:"bearer"`
-}
-
-// Client may ask about tokens.
-type Client struct {
-	ID           string            `toml:"id"`
-	SecretSHA256 string            `toml:"secret_sha256"` // of its secret, in hex
-	Plan         string            `toml:"plan"`
-	Secret       [sha256.Size]byte `toml:"-"`
-}
-
-// Plan is a quota for each client, or for each customer whose bearer tokens are checked.
-type Plan struct {
-	Name  string  `toml:"name"`
-	Rate  float64 `toml:"rate"`  // questions a second
-	Burst float64 `toml:"burst"` // questions at once
-}
-
 // Duration is a time.Duration written as in "1.5s".
 type Duration time.Duration
 
@@ -77,71 +37,82 @@
 	return err
 }
 
-// On reports whether introspection is set up at all.
-func (n *Introspection) On() bool { return n.Listen != "" || n.Bearer.Plan != "" }
+// Faults are all that is wrong with a file, each with its key.
+type Faults struct {
+	File string
+	All  []error
+}
+
+// Error tells all faults in one line.
+func (f *Faults) Error() string {
+	texts := make([]string, len(f.All))
+	for i, err := range f.All {
+		texts[i] = strings.ReplaceAll(err.Error(), "\n", " ")
+	}
+	return fmt.Sprintf("operator's file %s: %s", f.File, strings.Join(texts, "; "))
+}
+
+// Unwrap returns the faults one by one.
+func (f *Faults) Unwrap() []error { return f.All }
 
-// ReadOperator reads an operator's file.
+// faults gathers what is wrong, by key.
+type faults struct{ all []error }
+
+func (f *faults) add(key, format string, args ...any) {
+	f.all = append(f.all, fmt.Errorf("%s: %w", key, fmt.Errorf(format, args...)))
+}
+
+// ReadOperator reads an operator's file. The error is a *Faults that names each fault with its key.
 func ReadOperator(path string, getenv func(string) string) (*Operator, error) {
 	o := &Operator{}
 	n := &o.Introspection
-	n.Path, n.Gateways = "/introspect", 1
+	n.Path, n.Gateways, n.Share = "/introspect", 1, true
 	n.Patience, n.Aim = Duration(3*time.Second), Duration(500*time.Millisecond)
-	n.Service.Path, n.Service.KeepAlive = "/introspect", Duration(10*time.Second)
 	meta, err := toml.DecodeFile(path, o)
 	if err != nil {
-		return nil, fmt.Errorf("operator's file %s: %w", path, err)
+		return nil, &Faults{path, []error{err}}
 	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return nil, fmt.Errorf("operator's file %s: unknown key %s", path, unknown[0])
+	f := &faults{}
+	for _, key := range meta.Undecoded() {
+		f.add(key.String(), "unknown key")
 	}
-	if err := n.check(getenv); err != nil {
-		return nil, fmt.Errorf("operator's file %s: introspection: %w", path, err)
+	n.one(meta.IsDefined("introspection", "service"))
+	n.check(f, getenv)
+	if len(f.all) > 0 {
+		return nil, &Faults{path, f.all}
 	}
 	return o, nil
 }
 
-func (n *Introspection) check(getenv func(string) string) error {
-	if !n.On() {
-		return nil
-	}
-	plans := map[string]bool{}
-	for _, p := range n.Plans {
-		plans[p.Name] = true
-	}
-	switch {
-	case len(n.Service.Servers) == 0:
-		return errors.New("service.servers is empty: nobody to ask")
-	case n.Bearer.Plan != "" && !plans[n.Bearer.Plan]:
-		return fmt.Errorf("bearer.plan: no plan %q", n.Bearer.Plan)
-	case n.Aim == 0 || n.Patience == 0:
-		return errors.New("aim and patience must be above 0")
-	}
-	if n.Service.SecretEnv != "" {
-		if n.Service.Secret = getenv(n.Service.SecretEnv); n.Service.Secret == "" {
-			return fmt.Errorf("service.secret_env: %s is not set", n.Service.SecretEnv)
-		}
+// decodeHash reads a SHA-256 in hex.
+func decodeHash(text string, into []byte) error {
+	sum, err := hex.DecodeString(text)
+	if err == nil && len(sum) != len(into) {
+		err = errors.New("not of 32 bytes")
 	}
-	for i := range n.Clients {
-		c := &n.Clients[i]
-		sum, err := hex.DecodeString(c.SecretSHA256)
-		switch {
-		case err != nil || len(sum) != sha256.Size:
-			return fmt.Errorf("client %q: secret_sha256 is not a SHA-256 in hex", c.ID)
-		case !plans[c.Plan]:
-			return fmt.Errorf("client %q: no plan %q", c.ID, c.Plan)
-		}
-		copy(c.Secret[:], sum)
+	if err != nil {
+		return fmt.Errorf("want a SHA-256 in hex: %w", err)
 	}
+	copy(into, sum)
 	return nil
 }
 
-// Settings are those of the gate that decides on questions. The class is the front's own.
-func (n *Introspection) Settings(class choice.Class, counter bool) choice.Settings {
-	s := choice.Settings{Gateways: n.Gateways, Classes: []choice.Class{class}, MaxUnits: 1, Counter: counter,
-		CounterTimeout: 50 * time.Millisecond, MaxAttempts: 3, DialTimeout: 250 * time.Millisecond,
-		MaxRetryAfter: 10 * time.Second, Cancel: true, QueueField: -1}
-	for _, p := range n.Plans {
-		s.Plans = append(s.Plans, choice.Plan{Name: p.Name, Rate: p.Rate, Burst: p.Burst, Price: 1})
+// loopback reports whether an address is one that only this machine reaches.
+func loopback(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return false
 	}
-	return s
+	ip := net.ParseIP(host)
+	return host == "localhost" || ip != nil && ip.IsLoopback()
+}
+
+// hostPort reports whether an address names a host and a port.
+func hostPort(addr string) bool {
+	host, port, err := net.SplitHostPort(addr)
+	return err == nil && host != "" && port != ""
+}
+
+func allLoopback(addrs []string) bool {
+	return !slices.ContainsFunc(addrs, func(a string) bool { return !loopback(a) })
 }
--- a/internal/flights/flights_test.go
+++ b/internal/flights/flights_test.go
@@ -3,8 +3,8 @@
 import "testing"
 
 func TestTheLeaderLeavesAThousandAskers(t *testing.T) {
-	g := New[string, int]()
-	f := g.Begin("token", 0)
+	g := New[string, int, string]()
+	f := g.Begin("token", 0, "")
 	for i := 1; i <= 1000; i++ {
 		if joined, ok := g.Join("token", i); !ok || joined != f {
 			t.Fatalf("asker %d got no place", i)
@@ -23,8 +23,8 @@
 }
 
 func TestTheLastOneEndsIt(t *testing.T) {
-	g := New[string, int]()
-	f := g.Begin("token", 1)
+	g := New[string, int, string]()
+	f := g.Begin("token", 1, "")
 	g.Join("token", 2)
 	if g.Leave(f, 1) || !g.Leave(f, 2) || g.Leave(f, 2) || g.Len() != 0 {
 		t.Error("want the flight to end with its last asker, once")
@@ -32,7 +32,7 @@
 	if _, ok := g.Join("token", 3); ok {
 		t.Error("joined a flight that has ended")
 	}
-	second := g.Begin("token", 3)
+	second := g.Begin("token", 3, "")
 	if g.End(f); g.Len() != 1 {
 		t.Error("the end of an old flight ended its successor")
 	}
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -99,7 +99,7 @@
 	if a.Active {
 		bound = s.set.Positive
 	}
-	if a.Holds(now) && (a.Came >= taken || now < a.Asked+bound) {
+	if a.Holds(now) && (a.Came > taken || now < a.Asked+bound) {
 		return a
 	}
 	if !a.Holds(now) || now > a.Asked+max(s.set.Positive, s.set.Negative, grace) {
--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -3,6 +3,7 @@
 package accept
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -287,6 +288,8 @@
 		return "silent"
 	case isTimeout(err):
 		return "idle"
+	case unsafeYet(c.nc):
+		return "tls-failed"
 	case errors.Is(err, errAhead):
 		return "too-much-ahead"
 	case errors.Is(err, io.EOF):
@@ -295,6 +298,12 @@
 	return "client-reset"
 }
 
+// unsafeYet reports whether a connection is to have TLS, and its handshake has not come to its end.
+func unsafeYet(nc net.Conn) bool {
+	t, ok := nc.(*tls.Conn)
+	return ok && !t.ConnectionState().HandshakeComplete
+}
+
 // advance starts on the next request if one is whole and none is being answered. The lock is held.
 func (c *conn) advance() {
 	if c.busy || c.ended || c.last {
@@ -315,6 +324,10 @@
 		c.refuse(err)
 		return
 	}
+	if t, ok := c.nc.(*tls.Conn); ok {
+		state := t.ConnectionState()
+		r.TLS = &state
+	}
 	c.busy, c.leave = true, nil
 	c.count++
 	c.last = r.Close || !r.ProtoAtLeast(1, 1)
