--- /dev/null
+++ b/cmd/dunelab/main.go
@@ -0,0 +1,116 @@
+// Command dunelab is the project's laboratory: stand-ins of outside systems with faults by script, a load
+// tool, and the measurements of docs/measurements. It works on loopback addresses alone.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"dunespoke/internal/lab/faults"
+	"dunespoke/internal/lab/idp"
+	"dunespoke/internal/lab/load"
+)
+
+type commands struct {
+	Idp    idpCommand    `cmd:"" help:"Play an authorization server, with faults by script."`
+	Load   loadCommand   `cmd:"" help:"Ask an introspection front questions, in an open loop."`
+	Payday paydayCommand `cmd:"" help:"Measure introspection on a payday, by feature switched off in turn."`
+}
+
+type idpCommand struct {
+	Listen  string        `help:"Loopback address." default:"127.0.0.1:8801" env:"DUNESPOKE_LAB_LISTEN"`
+	Script  string        `help:"File with the script of faults." type:"existingfile" env:"DUNESPOKE_LAB_SCRIPT"`
+	Work    time.Duration `help:"That a question takes." default:"20ms"`
+	Workers int           `help:"Questions at work at once." default:"16"`
+}
+
+// Run plays the server until told to stop.
+func (c *idpCommand) Run(ctx context.Context) error {
+	var script faults.Script
+	if c.Script != "" {
+		text, err := os.ReadFile(c.Script)
+		if err != nil {
+			return err
+		}
+		if script, err = faults.Parse(string(text)); err != nil {
+			return err
+		}
+	}
+	_, end, err := startIdp(c.Listen, idp.Options{Script: script, Work: c.Work, Workers: c.Workers})
+	if err != nil {
+		return err
+	}
+	defer end()
+	fmt.Println("listening on", c.Listen)
+	<-ctx.Done()
+	return nil
+}
+
+// startIdp plays an authorization server at a loopback address.
+func startIdp(addr string, o idp.Options) (s *idp.Server, end func(), err error) {
+	host, _, err := net.SplitHostPort(addr)
+	if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
+		return nil, nil, fmt.Errorf("%s: want a loopback address", addr)
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, nil, err
+	}
+	if o.Issuer == "" {
+		o.Issuer = "http://" + l.Addr().String()
+	}
+	if s, err = idp.New(o); err != nil {
+		l.Close()
+		return nil, nil, err
+	}
+	h := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, ErrorLog: nil}
+	go h.Serve(l)
+	return s, func() { h.Close() }, nil
+}
+
+type loadCommand struct {
+	URL      string        `arg:"" help:"Where questions are taken, on a loopback address."`
+	ID       string        `help:"Client." default:"example-app"`
+	Secret   string        `help:"Its secret." default:"try-me" env:"DUNESPOKE_LAB_SECRET"`
+	Rate     float64       `help:"Questions a second." default:"100"`
+	For      time.Duration `help:"How long." default:"10s"`
+	Tokens   int           `help:"Different tokens." default:"5000"`
+	Zipf     float64       `help:"Skew of their use, above 1." default:"1.1"`
+	Inactive float64       `help:"Part of them that is not active." default:"0.02"`
+	Patience time.Duration `help:"Of each asker." default:"3s"`
+}
+
+// Run makes the load and prints what became of it.
+func (c *loadCommand) Run(ctx context.Context) error {
+	r, err := load.Run(ctx, load.Options{URL: c.URL, ID: c.ID, Secret: c.Secret, Rate: c.Rate, For: c.For,
+		Tokens: c.Tokens, Zipf: c.Zipf, Patience: c.Patience, Inactive: c.Inactive, Early: 50 * time.Millisecond})
+	if err != nil {
+		return err
+	}
+	fmt.Print(tableHead("phase"))
+	for _, p := range append(r.Phases, r.Total()) {
+		fmt.Print(tableRow(fmt.Sprintf("%v to %v", p.From, p.To), p))
+	}
+	return nil
+}
+
+func main() {
+	var c commands
+	line := kong.Parse(&c, kong.Name("dunelab"), kong.UsageOnError(),
+		kong.Description("The laboratory of dunespoke, on loopback addresses alone."))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	line.BindTo(ctx, (*context.Context)(nil))
+	if err := line.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "dunelab:", err)
+		os.Exit(1)
+	}
+}
