--- a/cmd/dunespoke/questions.go
+++ b/cmd/dunespoke/questions.go
@@ -1,12 +1,16 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"reflect"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-jose/go-jose/v4"
+
+	"dunespoke/bearer"
 	"dunespoke/choice"
 	"dunespoke/core"
 	"dunespoke/front/introspect"
@@ -16,7 +20,9 @@
 	"dunespoke/internal/localcount"
 	"dunespoke/internal/net/counter"
 	"dunespoke/internal/net/forward"
+	"dunespoke/internal/net/keyset"
 	"dunespoke/internal/net/secure"
+	"dunespoke/internal/oauth/assertion"
 )
 
 // questions is the front for token introspection with all that stands behind it.
@@ -50,6 +56,14 @@
 // startQuestions starts the front for token introspection.
 func (p *program) startQuestions(n *config.Introspection, share sockets) (*questions, error) {
 	q := &questions{p: p, share: share}
+	if n.Listen != "" && !n.Insecure {
+		side, err := secure.Server(files(n.TLS), p.log)
+		if err != nil {
+			return nil, fmt.Errorf("introspection.tls: %w", err)
+		}
+		q.listen = side
+		go side.Watch(p.work)
+	}
 	var local core.Counter = localcount.New()
 	if addr := q.counterOf(n); addr != "" {
 		client := counter.New(addr, 50*time.Millisecond, p.dial, p.log)
@@ -69,17 +83,67 @@
 	if n.Listen == "" {
 		return q, nil
 	}
-	if !n.Insecure {
-		if q.listen, err = secure.Server(files(n.TLS), p.log); err != nil {
-			return nil, fmt.Errorf("introspection.tls: %w", err)
-		}
-		go q.listen.Watch(p.work)
-	}
 	return q, p.serve(n.Listen, q.front, share.clients, q.listen)
 }
 
 func files(t config.TLS) secure.Files {
-	return secure.Files{Cert: t.Cert, Key: t.Key, CA: t.CA, Name: t.Name}
+	return secure.Files{Cert: t.Cert, Key: t.Key, CA: t.CA, Name: t.Name, Ask: true}
+}
+
+// told fills in who may ask, and what the front tells of itself.
+func (q *questions) told(n *config.Introspection, o *introspect.Options) error {
+	for _, k := range n.Clients {
+		c := introspect.Client{ID: k.ID, Plan: k.Plan, Method: introspect.Method(k.Auth), SecretHash: k.SecretHash,
+			SharedKey: k.SharedKey, Keys: k.Keys, Certificate: k.Certificate, Claims: k.Claims,
+			Name: introspect.Name{Subject: k.Subject, DNS: k.DNS, URI: k.URI, IP: k.IP, Email: k.Email}}
+		if k.EncryptAlg != "" {
+			c.Encrypt = &introspect.Encryption{Key: k.EncryptKey, Algorithm: jose.KeyAlgorithm(k.EncryptAlg),
+				Content: jose.ContentEncryption(k.EncryptEnc)}
+		}
+		o.Clients = append(o.Clients, c)
+	}
+	if len(n.Signing) > 0 {
+		keys := make([]jose.JSONWebKey, len(n.Signing))
+		for i, k := range n.Signing {
+			keys[i] = k.JWK
+		}
+		var err error
+		if o.Signer, err = introspect.NewSigner(n.URL, keys); err != nil {
+			return err
+		}
+	}
+	if r := n.Resource; r != nil {
+		o.Resource = &introspect.Resource{Resource: r.Resource, Servers: r.Servers, Scopes: r.Scopes, Name: r.Name,
+			Docs: r.Docs, Methods: []string{"header"}}
+	}
+	return nil
+}
+
+// credential is what shows an issuer's service who asks.
+func credential(s *config.Issuer) (introspect.Credential, error) {
+	audience := s.Audience
+	if audience == "" {
+		audience = "https://" + cmp.Or(s.Host, s.Servers[0]) + s.Path
+	}
+	switch s.Auth {
+	case "client_secret_post":
+		return introspect.PostCredential(s.ClientID, s.Secret), nil
+	case "client_secret_jwt":
+		m, err := assertion.NewMaker(s.ClientID, audience, time.Minute, []byte(s.Secret), "HS256", "")
+		return introspect.AssertionCredential(m), err
+	case "private_key_jwt":
+		k := s.Key.JWK
+		m, err := assertion.NewMaker(s.ClientID, audience, time.Minute, k.Key, k.Algorithm, k.KeyID)
+		return introspect.AssertionCredential(m), err
+	case "tls_client_auth", "self_signed_tls_client_auth":
+		return introspect.CertificateCredential(s.ClientID), nil
+	case "bearer":
+		return introspect.BearerCredential(s.Secret), nil
+	}
+	if s.ClientID == "" {
+		return nil, nil
+	}
+	return introspect.BasicCredential(s.ClientID, s.Secret), nil
 }
 
 func (q *questions) counterOf(n *config.Introspection) string {
@@ -118,9 +182,13 @@
 	}
 	gateways *= len(n.Issuers) // to each other the askers' cores are what ingresses are
 	o = introspect.Options{Table: table, Path: n.Path, Patience: time.Duration(n.Patience), Gateways: gateways,
-		Draining: q.p.draining}
-	for _, k := range n.Clients {
-		o.Clients = append(o.Clients, introspect.Client{ID: k.ID, Secret: k.Secret, Plan: k.Plan})
+		Draining: q.p.draining, Log: q.p.log, Issuer: n.URL, Audiences: n.Audiences,
+		Callers: introspect.Callers{Plan: n.Callers.Plan, Scope: n.Callers.Scope}}
+	if q.listen != nil {
+		o.Trust = q.listen.Trust
+	}
+	if err := q.told(n, &o); err != nil {
+		return o, nil, err
 	}
 	var list []*issuer
 	for i := range n.Issuers {
@@ -177,6 +245,10 @@
 // desk makes an issuer's desk, with the core behind it.
 func (q *questions) desk(s *issuer, n *config.Introspection, class choice.Class) error {
 	conf, dial := &s.conf, q.p.dial
+	shown, err := credential(conf)
+	if err != nil {
+		return err
+	}
 	if !conf.Insecure {
 		side, err := secure.Client(files(conf.TLS), q.p.log)
 		if err != nil {
@@ -201,8 +273,18 @@
 		servers = append(servers, core.Server{Name: addr, Addr: addr, State: choice.Live})
 	}
 	c.Servers(true, servers)
-	s.parts.Desk = introspect.NewDesk(introspect.DeskOptions{Issuer: conf.Name, Questions: c,
-		Service: introspect.Service{Path: conf.Path, Host: conf.Host, ClientID: conf.ClientID, Secret: conf.Secret},
+	var fallback *introspect.Fallback
+	if b := conf.Fallback; b.For > 0 {
+		keys := keyset.New(keyset.Options{Addr: conf.Servers[0], Host: conf.Host, Path: b.Path, Dial: dial,
+			Every: time.Duration(b.Every), Log: q.p.log})
+		reads, stop := context.WithCancel(q.p.work)
+		s.ends = append(s.ends, stop)
+		go keys.Run(reads)
+		fallback = &introspect.Fallback{Issuer: conf.Iss, Audiences: b.Audiences, Keys: keys.Keys,
+			For: time.Duration(b.For), Skew: 5 * time.Second}
+	}
+	s.parts.Desk = introspect.NewDesk(introspect.DeskOptions{Issuer: conf.Name, Questions: c, Fallback: fallback,
+		Service: introspect.Service{Path: conf.Path, Host: conf.Host, Credential: shown},
 		Limit:   time.Duration(conf.Limit), Silence: time.Duration(conf.Silence), Alone: !n.Share,
 		Breaker: conf.Options(), Freshness: n.Freshness(), Log: q.p.log})
 	return nil
@@ -249,7 +331,15 @@
 	if n.Bearer.Plan == "" {
 		q.bearer.Store(nil)
 	} else {
-		q.bearer.Store(&introspect.Bearer{Front: q.front, Plan: n.Bearer.Plan})
+		b := introspect.Bearer{Front: q.front, Plan: n.Bearer.Plan, Base: n.Bearer.Base, Log: q.p.log,
+			Others: n.Bearer.Others.Rules(), Classes: map[string]bearer.Requirement{}}
+		for _, c := range n.Bearer.Classes {
+			b.Classes[c.Name] = c.Rules()
+		}
+		if old := q.bearer.Load(); old != nil {
+			b.Proofs = old.Proofs // what was shown stays shown
+		}
+		q.bearer.Store(introspect.NewBearer(b))
 	}
 }
 
--- a/cmd/dunespoke/scenario_test.go
+++ b/cmd/dunespoke/scenario_test.go
@@ -48,7 +48,7 @@
 	n.Share, n.Insecure = true, true
 	n.Issuers = []config.Issuer{testIssuer("service", "idp")}
 	n.Plans = []config.Plan{{Name: "few", Rate: 0.1, Burst: 12}}
-	n.Clients = []config.Client{{ID: "a", Plan: "few", Secret: sha256.Sum256([]byte("b"))}}
+	n.Clients = []config.Client{{ID: "a", Plan: "few", SecretHash: sha256.Sum256([]byte("b"))}}
 	if bearer != "" {
 		n.Listen, n.Bearer.Plan = "", bearer
 	}
--- a/front/introspect/ask.go
+++ b/front/introspect/ask.go
@@ -1,7 +1,6 @@
 package introspect
 
 import (
-	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -25,10 +24,9 @@
 
 // Service says how an introspection service is asked.
 type Service struct {
-	Path     string
-	Host     string // for the Host header; empty: the address of the server
-	ClientID string // what this program is known as there; empty: it asks without credentials
-	Secret   string
+	Path       string
+	Host       string     // for the Host header; empty: the address of the server
+	Credential Credential // nil: it asks without one
 }
 
 // message is one question as it goes to a service. It is a forward.Message.
@@ -49,6 +47,13 @@
 	if host == "" {
 		host = s.Addr
 	}
+	authorization := ""
+	if m.service.Credential != nil {
+		var err error
+		if authorization, err = m.service.Credential(form); err != nil {
+			authorization = "" // the service refuses the question, which then counts as its error
+		}
+	}
 	body := form.Encode()
 	buf = append(buf, "POST "...)
 	buf = append(buf, m.service.Path...)
@@ -56,9 +61,8 @@
 	buf = http1.AppendHeader(buf, "Host", host)
 	buf = http1.AppendHeader(buf, "Accept", "application/json")
 	buf = http1.AppendHeader(buf, "Content-Type", "application/x-www-form-urlencoded")
-	if m.service.ClientID != "" {
-		pair := url.QueryEscape(m.service.ClientID) + ":" + url.QueryEscape(m.service.Secret)
-		buf = http1.AppendHeader(buf, "Authorization", "Basic "+base64.StdEncoding.EncodeToString([]byte(pair)))
+	if authorization != "" {
+		buf = http1.AppendHeader(buf, "Authorization", authorization)
 	}
 	buf = http1.AppendHeader(buf, "Content-Length", strconv.Itoa(len(body)))
 	buf = append(buf, "\r\n"...)
--- a/front/introspect/attempts.go
+++ b/front/introspect/attempts.go
@@ -7,9 +7,9 @@
 	"dunespoke/core"
 )
 
-// Attempts stands between the core that puts questions and the sockets. It notes which attempts told something
-// of the service, and gives up each after a limit, so that the core can try another server while the question
-// has time left.
+// Attempts stands between the core that puts questions and the sockets. It notes which attempts told
+// something of the service, and gives up each after a limit, so that the core can try another server while
+// the question has time left.
 type Attempts struct {
 	core.Upstream
 	Limit time.Duration // for one attempt; 0: the question's own
--- a/front/introspect/bearer.go
+++ b/front/introspect/bearer.go
@@ -1,66 +1,104 @@
 package introspect
 
 import (
-	"net/http"
 	"strings"
+	"time"
 
+	"github.com/rs/zerolog"
+
+	"dunespoke/bearer"
 	"dunespoke/core"
 	"dunespoke/internal/http1"
 )
 
-// Bearer checks the bearer token of a request before the request goes on. It is a platform.Guard.
+// Bearer checks the access token of a request before the request goes on. It is a platform.Guard.
 type Bearer struct {
-	Front *Front
-	Plan  string // under which checks are counted
+	Front   *Front
+	Plan    string                        // under which checks are counted
+	Classes map[string]bearer.Requirement // by the class of the request
+	Others  bearer.Requirement            // of classes that are not named
+	Proofs  *bearer.Memory                // of DPoP; nil: tokens bound to keys are refused
+	Base    string                        // of the URLs that proofs name; empty: as asked
+	Log     zerolog.Logger
 }
 
 // customerBit tells the accounts under which checks are counted from those of the requests themselves.
 const customerBit = 1 << 62
 
-// Check asks for the token, within the deadline of the request that it came with, and calls then once: with
-// nil if the token is active, else with the answer that the client gets instead. Attempts made for it are
-// attempts of the check alone. The request has not been sent on yet, so that any answer from here is one to
-// a request that never ran.
+// Check asks about the token, within the deadline of the request that it came with, and calls then once: with
+// nil if the token lets the request through, else with the answer that the client gets instead. Attempts made
+// for it are attempts of the check alone. The request has not been sent on yet, so that any answer from here
+// is one to a request that never ran.
 func (b *Bearer) Check(r *http1.Request, in core.Request, then func(*http1.Answer)) (leave func()) {
-	token, problem := bearerToken(r)
-	if problem != nil {
-		then(problem)
+	s := b.Front.now.Load()
+	shown, refusal := bearer.Read(r.Header)
+	if refusal != nil {
+		then(b.refused(in.Class, refusal))
 		return nil
 	}
-	now := b.Front.now.Load()
-	return now.ask(core.Request{Plan: b.Plan, Customer: in.Customer | customerBit,
-		Spread: in.Spread * len(now.Issuers), Deadline: in.Deadline}, token, "access_token",
-		func(v verdict) { then(now.bearer(v)) })
+	shown.Method, shown.URL = r.Method, b.url(r)
+	if r.TLS != nil && len(r.TLS.PeerCertificates) > 0 {
+		shown.Certificate = r.TLS.PeerCertificates[0].Raw
+	}
+	required, named := b.Classes[in.Class]
+	if !named {
+		required = b.Others
+	}
+	return s.ask(core.Request{Plan: b.Plan, Customer: in.Customer | customerBit,
+		Spread: in.Spread * len(s.Issuers), Deadline: in.Deadline}, shown.Token, "access_token", func(v verdict) {
+		if v.kind != core.Served {
+			then(s.word(v))
+			return
+		}
+		now := s.clock()
+		claims, err := bearer.ParseClaims(v.token.Text)
+		if err != nil || !v.active(now) {
+			claims = bearer.Claims{} // not active
+		}
+		claims.Expires = 0 // v.active has read it, by the issuer's clock
+		if refusal := required.Check(now, claims, shown, b.Proofs); refusal != nil {
+			then(b.refused(in.Class, refusal))
+			return
+		}
+		then(nil)
+	})
 }
 
-// bearer turns a verdict into the answer to the request that came with the token; nil lets it on.
-func (s *setup) bearer(v verdict) *http1.Answer {
-	switch {
-	case v.active(s.clock()):
-		return nil
-	case v.kind == core.Served:
-		return unauthorized(`Bearer error="invalid_token", error_description="the token is not active"`,
-			"invalid_token")
+// url is what the client asked, as far as a proof names it.
+func (b *Bearer) url(r *http1.Request) string {
+	if b.Base != "" {
+		return strings.TrimSuffix(b.Base, "/") + r.URL.Path
+	}
+	scheme := "http://"
+	if r.TLS != nil {
+		scheme = "https://"
 	}
-	return s.word(v)
+	return scheme + r.Host + r.URL.Path
 }
 
-// bearerToken reads the token from the Authorization header, the one way that RFC 6750 asks all to support.
-func bearerToken(r *http1.Request) (string, *http1.Answer) {
-	headers := r.Header.Values("Authorization")
-	if len(headers) == 0 {
-		return "", unauthorized("Bearer", "invalid_token")
+// refused words a refusal, and logs it without the token.
+func (b *Bearer) refused(class string, r *bearer.Refusal) *http1.Answer {
+	if r.Code != "" {
+		b.Log.Warn().Str("code", "token-refused").Str("class", class).Str("error", r.Code).
+			Str("reason", r.Description).Msg("not let in")
 	}
-	scheme, token, _ := strings.Cut(headers[0], " ")
-	token = strings.TrimSpace(token)
-	if len(headers) > 1 || !strings.EqualFold(scheme, "Bearer") || token == "" || strings.Contains(token, " ") {
-		a := problemOf(http.StatusBadRequest, "invalid_request", "want one header with one bearer token")
-		return "", withHeader(a, "WWW-Authenticate", `Bearer error="invalid_request"`)
-	}
-	return token, nil
+	a := jsonAnswer(r.Status, r.Body())
+	return withHeader(a, "WWW-Authenticate", r.Challenge())
 }
 
-func unauthorized(challenge, code string) *http1.Answer {
-	a := problemOf(http.StatusUnauthorized, code, "a bearer token that is active is needed")
-	return withHeader(a, "WWW-Authenticate", challenge)
+// sampled is a log that a flood of bad tokens does not fill.
+func sampled(log zerolog.Logger) zerolog.Logger {
+	return log.Sample(&zerolog.BurstSampler{Burst: 20, Period: time.Second})
 }
+
+// NewBearer returns a check with a memory for DPoP of its own, unless there is one.
+func NewBearer(b Bearer) *Bearer {
+	if b.Proofs == nil {
+		b.Proofs = bearer.NewMemory(proofsMost)
+	}
+	b.Log = sampled(b.Log)
+	return &b
+}
+
+// proofsMost is how many proofs are remembered at a time: 1,000 a second for the minute that they are valid.
+const proofsMost = 60_000
--- /dev/null
+++ b/front/introspect/bearer_test.go
@@ -0,0 +1,115 @@
+package introspect
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dunespoke/bearer"
+	"dunespoke/core"
+	"dunespoke/internal/freshness"
+	"dunespoke/internal/http1"
+	"dunespoke/middleware"
+)
+
+// told is an authorization server for the middleware: the same answers as the rig's.
+type told map[string]string
+
+func (a told) Introspect(_ context.Context, token string) ([]byte, error) {
+	if text, ok := a[token]; ok {
+		return []byte(text), nil
+	}
+	return nil, &middleware.Unavailable{RetryAfter: time.Second}
+}
+
+// One table for the daemon's check and for the middleware: the same rules, and the same answers to the byte.
+func TestTheSameAnswersAsTheMiddleware(t *testing.T) {
+	answers := told{
+		"good":   `{"active":true,"scope":"read pay","acr":"gold"}`,
+		"weak":   `{"active":true,"scope":"read pay"}`,
+		"narrow": `{"active":true,"scope":"read"}`,
+		"over":   `{"active":false}`,
+		"bound":  `{"active":true,"scope":"read pay","cnf":{"jkt":"x"}}`,
+	}
+	classes := map[string]bearer.Requirement{
+		"pay": {Scopes: []string{"read", "pay"}, ACR: []string{"gold"}, Realm: "bank"},
+	}
+	inBubble(t, func(t *testing.T) {
+		r := newRig(t, oneRule, freshness.Options{}, 1e6)
+		r.services[0].becomes(
+			func(token string) (string, time.Duration) { return answers[token], time.Millisecond },
+		)
+		guard := NewBearer(Bearer{Front: r.front, Plan: "member", Classes: classes})
+		wrap, err := middleware.Bearer(middleware.BearerOptions{Introspector: answers,
+			Require: func(r *http.Request) bearer.Requirement { return classes[strings.TrimPrefix(r.URL.Path, "/")] }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		through := 0
+		handler := wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if c, ok := middleware.Claims(r.Context()); !ok || !c.Active {
+				t.Error("let through without claims")
+			}
+			through++
+		}))
+		for _, c := range []struct {
+			path, header string
+			status       int
+		}{{"/pay", "Bearer good", 0}, {"/other", "Bearer narrow", 0}, {"/pay", "Bearer narrow", 403},
+			{"/pay", "Bearer weak", 401}, {"/pay", "Bearer over", 401}, {"/other", "Bearer over", 401},
+			{"/pay", "Bearer bound", 401}, {"/pay", "DPoP good", 401}, {"/pay", "", 401}, {"/pay", "Basic YTpi", 400},
+			{"/pay", "Bearer a b", 400}} {
+			req := httptest.NewRequest("POST", "http://h"+c.path, nil)
+			if c.header != "" {
+				req.Header.Set("Authorization", c.header)
+			}
+			w, before := httptest.NewRecorder(), through
+			handler.ServeHTTP(w, req)
+			var answer *http1.Answer
+			calls := 0
+			guard.Check(&http1.Request{Request: req}, core.Request{Class: strings.TrimPrefix(c.path, "/"), Spread: 1,
+				Customer: 7, Deadline: r.front.now.Load().clock() + time.Second}, func(a *http1.Answer) {
+				answer, calls = a, calls+1
+			})
+			time.Sleep(20 * time.Millisecond)
+			synctest.Wait()
+			if calls != 1 {
+				t.Fatalf("%+v: %d answers", c, calls)
+			}
+			if (through > before) != (c.status == 0) || (answer == nil) != (c.status == 0) {
+				t.Errorf("%+v: let through by the middleware %v, by the guard %v", c, through > before, answer == nil)
+			}
+			if answer == nil {
+				continue
+			}
+			if answer.Status != c.status || w.Code != c.status || string(answer.Body) != w.Body.String() ||
+				header(answer, "WWW-Authenticate") != w.Header().Get("WWW-Authenticate") {
+				t.Errorf("%+v:\nguard      %d %s %s\nmiddleware %d %s %s", c, answer.Status,
+					header(answer, "WWW-Authenticate"), answer.Body, w.Code, w.Header().Get("WWW-Authenticate"), w.Body)
+			}
+		}
+		if strings.Contains(r.log.String(), "narrow") {
+			t.Error("a token is in the log")
+		}
+	})
+}
+
+// What a service's silence means is the same for both, too: no answer calls a token inactive.
+func TestSilenceIsNoRefusalOfTheToken(t *testing.T) {
+	wrap, err := middleware.Bearer(middleware.BearerOptions{Introspector: told{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	req := httptest.NewRequest("GET", "http://h/", nil)
+	req.Header.Set("Authorization", "Bearer x")
+	w := httptest.NewRecorder()
+	wrap(http.NotFoundHandler()).ServeHTTP(w, req)
+	if w.Code != 503 || w.Header().Get("Retry-After") != "1" ||
+		strings.Contains(w.Body.String(), "invalid_token") {
+		t.Errorf("%d %v %s", w.Code, w.Header(), w.Body)
+	}
+}
--- a/front/introspect/desk.go
+++ b/front/introspect/desk.go
@@ -25,11 +25,12 @@
 	Alone     bool          // each asker has a question of its own, as long as no answer is kept
 	Breaker   breaker.Options
 	Freshness freshness.Options
+	Fallback  *Fallback // nil: none
 	Log       zerolog.Logger
 }
 
-// Desk is where those who ask about one issuer's tokens get their answers: one that may be used again, or that
-// of a question under way, or of a new one. It turns questions away while the issuer is left alone.
+// Desk is where those who ask about one issuer's tokens get their answers: one that may be used again, or
+// that of a question under way, or of a new one. It turns questions away while the issuer is left alone.
 type Desk struct {
 	DeskOptions
 
@@ -104,7 +105,7 @@
 		d.counts.Reused++
 		return &outcome{token: a.Value.(*Token)}
 	}
-	if d.breaker.State() == breaker.Closed || d.flights.Has(key) {
+	if d.breaker.State() == breaker.Closed || d.breaker.State() == breaker.Returning && d.flights.Has(key) {
 		return nil
 	}
 	after, turned := d.breaker.Wait(now)
@@ -116,7 +117,8 @@
 	return &outcome{after: after}
 }
 
-// put finds an answer for an asker, a seat in a flight, or begins one. It returns nil if the answer comes later.
+// put finds an answer for an asker, a seat in a flight, or begins one. It returns nil if the answer comes
+// later.
 func (d *Desk) put(a *asker) *outcome {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -130,16 +132,28 @@
 		d.lone++
 		key = keyOf(a.token, a.hint+"\x00"+strconv.FormatUint(d.lone, 10))
 	}
-	if s, ok := d.flights.Join(key, a); ok {
-		d.counts.Joined++
-		return a.sit(d, s)
+	// What is under way while the issuer is left alone is in doubt, a trial most of all: one asker risks its
+	// time on it, and others are told at once when to come back.
+	if d.breaker.State() != breaker.Open {
+		if s, ok := d.flights.Join(key, a); ok {
+			d.counts.Joined++
+			return a.sit(d, s)
+		}
+	} else if d.flights.Has(key) {
+		after, _ := d.breaker.Wait(now)
+		d.counts.Turned++
+		return &outcome{after: after}
 	}
 	permit, after := d.breaker.Take(now)
 	if permit == nil {
 		d.counts.Turned++
 		return &outcome{after: after}
 	}
-	f := &flight{message: &message{service: &d.Service, token: a.token, hint: a.hint}, permit: permit, asked: now}
+	f := &flight{
+		message: &message{service: &d.Service, token: a.token, hint: a.hint},
+		permit:  permit,
+		asked:   now,
+	}
 	s := d.flights.Begin(key, a, f)
 	d.counts.Put++
 	f.ticket = d.Questions.Submit(core.Request{Class: ClassName, Plan: questionPlan, Units: 1, Spread: 1,
@@ -148,8 +162,8 @@
 	return a.sit(d, s)
 }
 
-// A question is late after usualTimes the usual time of an answer, but not before a part of Silence nor, unless
-// answers usually take so long, after the whole of it.
+// A question is late after usualTimes the usual time of an answer, but not before a part of Silence nor,
+// unless answers usually take so long, after the whole of it.
 const (
 	usualTimes  = 8 // services were seen to run nine times slower for a while, few at a stroke
 	slowTimes   = 3
--- a/front/introspect/desk_test.go
+++ b/front/introspect/desk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/ecdsa"
 	"crypto/sha256"
 	"fmt"
 	"net/http"
@@ -12,6 +13,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-jose/go-jose/v4"
+	"github.com/go-jose/go-jose/v4/jwt"
 	"github.com/rs/zerolog"
 
 	"dunespoke/choice"
@@ -85,6 +88,7 @@
 type rig struct {
 	t        *testing.T
 	front    *Front
+	options  Options
 	services []*service
 	log      bytes.Buffer
 }
@@ -99,7 +103,7 @@
 	}
 	o := Options{Table: table, Path: "/introspect", Patience: 3 * time.Second, Gateways: len(rules),
 		Draining: func() bool { return false },
-		Clients:  []Client{{ID: "a", Plan: "member", Secret: sha256.Sum256([]byte("b"))}}}
+		Clients:  []Client{{ID: "a", Plan: "member", SecretHash: sha256.Sum256([]byte("b"))}}}
 	set := choice.Settings{Gateways: 1, MaxUnits: 1, MaxAttempts: 3, DialTimeout: 250 * time.Millisecond,
 		MaxRetryAfter: 10 * time.Second, Cancel: true, QueueField: -1, CounterTimeout: 50 * time.Millisecond,
 		Classes: []choice.Class{Class(time.Second, 3*time.Second)}, Plans: []choice.Plan{QuestionPlan()}}
@@ -130,7 +134,8 @@
 				Limit: 3 * time.Second, Silence: 500 * time.Millisecond, Freshness: fresh,
 				Breaker: breaker.Options{MostOut: 256}, Log: log})})
 	}
-	r.front = New(o)
+	o.Log = log
+	r.options, r.front = o, New(o)
 	synctest.Wait()
 	return r
 }
@@ -145,13 +150,21 @@
 }
 
 func (r *rig) ask(token string) *asked {
-	body := url.Values{"token": {token}}.Encode()
+	return r.send(url.Values{"token": {token}}, func(req *http.Request) { req.SetBasicAuth("a", "b") })
+}
+
+// send asks by a form and whatever else is done to the request.
+func (r *rig) send(form url.Values, with func(*http.Request)) *asked {
+	body := form.Encode()
 	req, err := http.NewRequest("POST", "http://h/introspect", strings.NewReader(body))
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	req.SetBasicAuth("a", "b")
+	req.RemoteAddr = "127.0.0.1:1"
 	req.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+	if with != nil {
+		with(req)
+	}
 	a, since := &asked{}, time.Now()
 	a.leave = r.front.Serve(&http1.Request{Request: req, Content: []byte(body)}, func(answer *http1.Answer) {
 		a.mu.Lock()
@@ -240,8 +253,8 @@
 	})
 }
 
-// The service is silent for 10 s. Each question gets one answer before its time is up, nearly all at once, and
-// none is told that its token is not active. Then the service is back, and within 2 s all are served.
+// The service is silent for 10 s. Each question gets one answer before its time is up, nearly all at once,
+// and none is told that its token is not active. Then the service is back, and within 2 s all are served.
 func TestSilentForTenSeconds(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		r := newRig(t, oneRule, freshness.Options{}, 1e6)
@@ -407,6 +420,53 @@
 	})
 }
 
+// While the issuer is left alone, a token that proves itself is answered for here, within the bound; one
+// that does not is refused as before.
+func TestFallback(t *testing.T) {
+	key, stranger := newKey(t), newKey(t)
+	inBubble(t, func(t *testing.T) {
+		r := newRig(t, oneRule, freshness.Options{}, 1e6)
+		desk := r.options.Issuers[0].Desk
+		desk.Fallback = &Fallback{Issuer: "https://as", Audiences: []string{"api"}, For: 5 * time.Second,
+			Keys: func() []jose.JSONWebKey { return []jose.JSONWebKey{{Key: &key.PublicKey}} }}
+		token := func(by *ecdsa.PrivateKey) string {
+			signer, err := jose.NewSigner(jose.SigningKey{Algorithm: jose.ES256, Key: by},
+				(&jose.SignerOptions{}).WithType("at+jwt"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := time.Now().Unix()
+			text, err := jwt.Signed(signer).Claims(map[string]any{"iss": "https://as", "aud": "api", "sub": "me",
+				"jti": "1", "client_id": "x", "iat": now, "exp": now + 60}).Serialize()
+			if err != nil {
+				t.Fatal(err)
+			}
+			return text
+		}
+		good, forged := token(key), token(stranger)
+		r.services[0].becomes(says("", 0))
+		for i := range 10 {
+			r.ask(fmt.Sprint("first-", i))
+		}
+		time.Sleep(time.Second)
+		r.ask("the trial")
+		synctest.Wait()
+		a, b := r.ask(good), r.ask(forged)
+		if a.status() != 200 || !strings.Contains(a.says(), `"introspection_source":"local"`) ||
+			!strings.Contains(a.says(), `"active":true`) || b.status() != 503 {
+			t.Errorf("good: %d %s, forged: %d %s", a.status(), a.says(), b.status(), b.says())
+		}
+		time.Sleep(5 * time.Second)
+		if c := r.ask(good); c.status() == 200 {
+			t.Errorf("past the bound: %s", c.says())
+		}
+		log := r.log.String()
+		if !strings.Contains(log, "answered-by-fallback") || strings.Contains(log, good) {
+			t.Errorf("the log:\n%s", log)
+		}
+	})
+}
+
 func TestTokensOfNobody(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		r := newRig(t, []issuers.Rule{{Name: "a", Prefixes: []string{"a-"}}}, freshness.Options{}, 1000)
--- a/front/introspect/introspect.go
+++ b/front/introspect/introspect.go
@@ -9,6 +9,7 @@
 package introspect
 
 import (
+	"crypto/x509"
 	"encoding/json"
 	"hash/fnv"
 	"io"
@@ -16,10 +17,14 @@
 	"mime"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"dunespoke/core"
 	"dunespoke/internal/http1"
 	"dunespoke/internal/issuers"
@@ -39,16 +44,29 @@
 	Patience time.Duration  // of clients that don't tell theirs by X-Remaining
 	Gateways int            // through which a client's questions arrive, the issuers' cores counted apart
 	Clients  []Client
+	Callers  Callers
 	Draining func() bool // whether the program is on its way out
+	Log      zerolog.Logger
+
+	Issuer    string    // this front's own name, an https URL; empty: there is no metadata
+	Audiences []string  // that clients' assertions may name; Issuer and the endpoint go without saying
+	Signer    *Signer   // of signed answers; nil: all are JSON
+	Resource  *Resource // what is told of the resource behind; nil: nothing
+	// Trust reports whether a client's chain of certificates ends in a root; nil: none does.
+	Trust func(chain []*x509.Certificate) error
 }
 
 // Front answers questions. It is an accept.Handler.
-type Front struct{ now atomic.Pointer[setup] }
+type Front struct {
+	now      atomic.Pointer[setup]
+	memories memories
+}
 
 // setup is what the front goes by. One question goes by one setup from its beginning to its end.
 type setup struct {
 	Options
-	clients map[string]Client
+	clients  map[string]Client
+	memories *memories
 }
 
 // margin is how long before the client gives up its answer is due.
@@ -63,7 +81,13 @@
 
 // Use makes the front go by other options from now on. Questions under way end by those they began with.
 func (f *Front) Use(o Options) {
-	s := &setup{Options: o, clients: map[string]Client{}}
+	s := &setup{Options: o, clients: map[string]Client{}, memories: &f.memories}
+	if o.Issuer != "" {
+		base := strings.TrimSuffix(o.Issuer, "/")
+		s.Audiences = append(slices.Clone(o.Audiences), o.Issuer, base+o.Path)
+	}
+	// A flood of strangers is not to be a flood of log lines.
+	s.Log = sampled(o.Log)
 	for _, c := range o.Clients {
 		s.clients[c.ID] = c
 	}
@@ -91,7 +115,11 @@
 		}
 		return nil
 	case r.URL.Path != s.Path:
-		respond(http1.Plain(404, "no such path"))
+		a := s.describe(r)
+		if a == nil {
+			a = http1.Plain(404, "no such path")
+		}
+		respond(a)
 		return nil
 	case r.Method != http.MethodPost:
 		respond(withHeader(http1.Plain(405, "method not allowed"), "Allow", "POST"))
@@ -102,20 +130,45 @@
 		respond(problem)
 		return nil
 	}
-	client, problem := s.authenticate(r, form)
-	if problem != nil {
-		respond(problem)
+	patience, ok := s.patience(r.Header.Get("X-Remaining"))
+	if !ok {
+		respond(problemOf(400, "invalid_request", "X-Remaining is not in seconds"))
+		return nil
+	}
+	deadline := arrived + patience - margin
+	by, err := show(r, form)
+	if err != nil {
+		respond(s.refuse(by, err))
 		return nil
 	}
+	if by.method == BearerToken {
+		return s.serveCaller(r, form, by, deadline, respond)
+	}
+	client, err := s.authenticate(r, by)
+	if err != nil {
+		respond(s.refuse(by, err))
+		return nil
+	}
+	return s.serve(r, form, client, deadline, respond)
+}
+
+// serve takes the question of a client that is known.
+func (s *setup) serve(r *http1.Request, form url.Values, client Client, deadline time.Duration,
+	respond func(*http1.Answer)) (leave func()) {
 	token := form.Get("token")
-	patience, ok := s.patience(r.Header.Get("X-Remaining"))
-	if token == "" || !ok {
-		respond(problemOf(400, "invalid_request", "token is missing, or X-Remaining is not in seconds"))
+	if token == "" {
+		respond(problemOf(400, "invalid_request", "token is missing"))
 		return nil
 	}
+	signed := wantsJWT(r)
 	return s.ask(core.Request{Plan: client.Plan, Customer: Customer(client.ID), Spread: s.Gateways,
-		Deadline: arrived + patience - margin}, token, form.Get("token_type_hint"),
-		func(out verdict) { respond(s.word(out)) })
+		Deadline: deadline}, token, form.Get("token_type_hint"), func(v verdict) {
+		if v.kind == core.Served {
+			respond(s.tell(client, signed, v))
+		} else {
+			respond(s.word(v))
+		}
+	})
 }
 
 // clock is the time that all cores of the front share.
@@ -148,16 +201,23 @@
 	for _, i := range route {
 		q.route = append(q.route, s.Issuers[i])
 	}
+	finish := func(out outcome) {
+		v := verdictOf(out)
+		if v.trouble {
+			v = s.fallBack(q, v)
+		}
+		then(v)
+	}
 	if len(route) == 1 {
 		if out := q.route[0].Desk.atOnce(q.key, q.taken); out != nil {
-			then(verdictOf(*out))
+			finish(*out)
 			return nil
 		}
 	}
 	in.Class, in.Units, in.Payload = ClassName, 1, q
 	in.Reply = func(a core.Answer) {
 		if out, ok := a.Body.(outcome); ok && a.Kind == core.Served {
-			then(verdictOf(out))
+			finish(out)
 			return
 		}
 		then(verdict{outcome: outcome{after: a.RetryAfter}, kind: a.Kind})
@@ -186,13 +246,9 @@
 	return time.Duration(seconds * float64(time.Second)), ok && seconds < 3600
 }
 
-// word turns a verdict into the client's answer.
+// word tells a client that its question got no answer.
 func (s *setup) word(v verdict) *http1.Answer {
 	switch {
-	case v.active(s.clock()):
-		return jsonAnswer(200, v.token.Text)
-	case v.kind == core.Served:
-		return jsonAnswer(200, []byte(`{"active":false}`)) // RFC 7662, 2.2: nothing else is told of such a token
 	case v.trouble:
 		return withRetry(problemOf(503, "temporarily_unavailable",
 			"the issuer's service does not answer: ask again later"), v.after)
--- a/internal/config/introspection.go
+++ b/internal/config/introspection.go
@@ -2,12 +2,16 @@
 
 import (
 	"cmp"
-	"crypto/sha256"
 	"fmt"
 	"math"
+	"net/url"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/go-jose/go-jose/v4"
+
+	"dunespoke/bearer"
 	"dunespoke/choice"
 	"dunespoke/internal/breaker"
 	"dunespoke/internal/freshness"
@@ -33,9 +37,75 @@
 	Issuers       []Issuer `toml:"issuer"`
 	Clients       []Client `toml:"client"`
 	Plans         []Plan   `toml:"plan"`
-	Bearer        struct {
-		Plan string `toml:"plan"`
-	} `toml:"bearer"`
+	Bearer        Bearer   `toml:"bearer"`
+	Callers       struct { // clients that ask by an access token of their own
+		Plan  string `toml:"plan"`  // under which those tokens are asked about; empty: nobody may
+		Scope string `toml:"scope"` // that they must have; empty: any
+	} `toml:"callers"`
+	URL       string    `toml:"url"`       // this front's own name, as its clients know it
+	Audiences []string  `toml:"audiences"` // beside it, that clients' assertions may name
+	Signing   []Key     `toml:"signing"`   // keys of signed answers: the first signs, all are told
+	Resource  *Resource `toml:"resource"`
+}
+
+// Bearer sets up checks of the platform's requests.
+type Bearer struct {
+	Plan    string        `toml:"plan"` // under which they are counted; empty: none are made
+	Base    string        `toml:"base"` // of the URLs that DPoP proofs name; empty: as asked
+	Others  Requirement   `toml:"others"`
+	Classes []Requirement `toml:"class"`
+}
+
+// Requirement is what the tokens of a class of requests must have.
+type Requirement struct {
+	Name      string   `toml:"name"` // of the class
+	Scopes    []string `toml:"scopes"`
+	Audiences []string `toml:"audiences"`
+	Issuers   []string `toml:"issuers"`
+	Bound     bool     `toml:"bound"`
+	DPoP      bool     `toml:"dpop"`
+	ACR       []string `toml:"acr"`
+	MaxAge    Duration `toml:"max_age"`
+	Realm     string   `toml:"realm"`
+}
+
+// Rules are the requirement as package bearer has it.
+func (r Requirement) Rules() bearer.Requirement {
+	return bearer.Requirement{Scopes: r.Scopes, Audiences: r.Audiences, Issuers: r.Issuers, Bound: r.Bound,
+		DPoP: r.DPoP, ACR: r.ACR, MaxAge: time.Duration(r.MaxAge), Realm: r.Realm}
+}
+
+// check names what is wrong with the checks.
+func (b *Bearer) check(f *faults, at string) {
+	seen := map[string]bool{}
+	for i, c := range b.Classes {
+		key := fmt.Sprintf("%sbearer.class[%d]", at, i)
+		if c.Name == "" || seen[c.Name] {
+			f.add(key+".name", "%q is empty or another class's", c.Name)
+		}
+		seen[c.Name] = true
+	}
+	for i, c := range append([]Requirement{b.Others}, b.Classes...) {
+		texts := slices.Concat(c.Scopes, c.ACR, []string{c.Realm})
+		if strings.ContainsAny(strings.Join(texts, ""), "\"\\\r\n") {
+			f.add(
+				fmt.Sprintf("%sbearer.class[%d]", at, i-1),
+				"quotes, backslashes and line ends can't be told to clients",
+			)
+		}
+	}
+	if u, err := url.Parse(b.Base); b.Base != "" && (err != nil || u.Host == "") {
+		f.add(at+"bearer.base", "%q: want a URL", b.Base)
+	}
+}
+
+// Resource is what is told of the resource that bearer tokens are for (RFC 9728).
+type Resource struct {
+	Resource string   `toml:"resource"`
+	Servers  []string `toml:"authorization_servers"`
+	Scopes   []string `toml:"scopes"`
+	Name     string   `toml:"name"`
+	Docs     string   `toml:"documentation"`
 }
 
 // TLS names files of one side of a connection.
@@ -55,9 +125,12 @@
 	Insecure  bool     `toml:"insecure"` // plain text, to loopback addresses
 	TLS       TLS      `toml:"tls"`
 	Path      string   `toml:"path"`
-	Host      string   `toml:"host"` // for the Host header; empty: the server's address
-	ClientID  string   `toml:"client_id"`
-	SecretEnv string   `toml:"secret_env"` // the environment variable that holds its secret
+	Host      string   `toml:"host"`       // for the Host header; empty: the server's address
+	Auth      string   `toml:"auth"`       // how this program shows who asks; empty: client_secret_basic
+	ClientID  string   `toml:"client_id"`  // what it is known as there; empty: it asks without credentials
+	SecretEnv string   `toml:"secret_env"` // the variable that holds its secret, or its token
+	Key       Key      `toml:"key"`        // private_key_jwt
+	Audience  string   `toml:"audience"`   // of its assertions; empty: the URL that is asked
 	KeepAlive Duration `toml:"keep_alive"`
 	Limit     Duration `toml:"limit"`   // for one question over all its attempts
 	Attempt   Duration `toml:"attempt"` // for one attempt; 0: the question's limit
@@ -67,18 +140,16 @@
 	Failures  int      `toml:"failures"`
 	FirstRest Duration `toml:"first_rest"`
 	MostRest  Duration `toml:"most_rest"`
+	Fallback  struct {
+		For       Duration `toml:"for"`       // how long its JWTs are checked here meanwhile; 0: not at all
+		Path      string   `toml:"jwks_path"` // of its public keys, at the first of its servers
+		Audiences []string `toml:"audiences"` // one of them must be in the token
+		Every     Duration `toml:"every"`     // between readings of the keys
+	} `toml:"fallback"`
 
 	Secret string `toml:"-"`
 }
 
-// Client may ask about tokens.
-type Client struct {
-	ID           string            `toml:"id"`
-	SecretSHA256 string            `toml:"secret_sha256"` // of its secret, in hex
-	Plan         string            `toml:"plan"`
-	Secret       [sha256.Size]byte `toml:"-"`
-}
-
 // Plan is a quota for each client, or for each customer whose bearer tokens are checked.
 type Plan struct {
 	Name  string  `toml:"name"`
@@ -102,6 +173,7 @@
 		s.Limit = cmp.Or(s.Limit, n.Patience)
 		s.Silence = cmp.Or(s.Silence, Duration(500*time.Millisecond))
 		s.MostOut = cmp.Or(s.MostOut, 256)
+		s.Fallback.Every = cmp.Or(s.Fallback.Every, Duration(5*time.Minute))
 	}
 }
 
@@ -144,19 +216,41 @@
 		n.checkListen(f, at)
 	}
 	n.checkIssuers(f, at, getenv)
+	if n.Callers.Plan != "" && !plans[n.Callers.Plan] {
+		f.add(at+"callers.plan", "no plan %q", n.Callers.Plan)
+	}
+	n.Bearer.check(f, at)
+	n.checkSigning(f, at)
+	n.checkClients(f, at, plans, getenv)
+}
+
+// checkSigning reads the keys that sign answers.
+func (n *Introspection) checkSigning(f *faults, at string) {
+	if n.URL != "" {
+		u, err := url.Parse(n.URL)
+		if err != nil || u.Host == "" || u.RawQuery != "" || u.Fragment != "" ||
+			u.Scheme != "https" && !(n.Insecure && u.Scheme == "http") {
+			f.add(at+"url", "%q: want an https URL without query and fragment", n.URL)
+		}
+	}
+	if len(n.Signing) > 0 && n.URL == "" {
+		f.add(at+"url", "it is needed to sign answers")
+	}
 	seen := map[string]bool{}
-	for i := range n.Clients {
-		c := &n.Clients[i]
-		key := fmt.Sprintf("%sclient[%d]", at, i)
-		if c.ID == "" || seen[c.ID] {
-			f.add(key+".id", "%q is empty or another client's", c.ID)
+	for i := range n.Signing {
+		k := &n.Signing[i]
+		key := fmt.Sprintf("%ssigning[%d]", at, i)
+		if k.ID == "" || seen[k.ID] {
+			f.add(key+".id", "%q is empty or another key's", k.ID)
 		}
-		seen[c.ID] = true
-		if !plans[c.Plan] {
-			f.add(key+".plan", "no plan %q", c.Plan)
+		seen[k.ID] = true
+		if err := k.read(); err != nil {
+			f.add(key+".file", "%w", err)
+			continue
 		}
-		if err := decodeHash(c.SecretSHA256, c.Secret[:]); err != nil {
-			f.add(key+".secret_sha256", "%w", err)
+		if _, err := jose.NewSigner(jose.SigningKey{Algorithm: jose.SignatureAlgorithm(k.JWK.Algorithm),
+			Key: k.JWK.Key}, nil); err != nil {
+			f.add(key+".alg", "%w", err)
 		}
 	}
 }
@@ -206,10 +300,12 @@
 		if err := s.Options().Validate(); err != nil {
 			f.add(key, "%w", err)
 		}
-		if s.SecretEnv != "" {
-			if s.Secret = getenv(s.SecretEnv); s.Secret == "" {
-				f.add(key+".secret_env", "the environment variable %s is not set", s.SecretEnv)
-			}
+		s.checkAuth(f, key, getenv)
+		if b := s.Fallback; b.For > 0 && (s.Iss == "" || !strings.HasPrefix(b.Path, "/") || len(b.Audiences) == 0) {
+			f.add(key+".fallback", "it needs iss, jwks_path and audiences")
+		}
+		if time.Duration(s.Fallback.For) > mostFallback {
+			f.add(key+".fallback.for", "%v at most: revocations are not seen meanwhile", mostFallback)
 		}
 	}
 	if _, err := n.Table(); err != nil {
@@ -217,6 +313,42 @@
 	}
 }
 
+// checkAuth reads what shows a service who asks.
+func (s *Issuer) checkAuth(f *faults, key string, getenv func(string) string) {
+	if s.SecretEnv != "" {
+		if s.Secret = getenv(s.SecretEnv); s.Secret == "" {
+			f.add(key+".secret_env", "the environment variable %s is not set", s.SecretEnv)
+		}
+	}
+	if s.Auth != "" && s.Auth != "bearer" && s.ClientID == "" {
+		f.add(key+".client_id", "%s needs it", s.Auth)
+	}
+	switch s.Auth {
+	case "", "client_secret_basic", "client_secret_post":
+	case "bearer":
+		if s.SecretEnv == "" {
+			f.add(key+".secret_env", "bearer needs a token from it")
+		}
+	case "client_secret_jwt":
+		if len(s.Secret) < sharedKeyLeast {
+			f.add(key+".secret_env", "client_secret_jwt needs a secret of %d bytes or more", sharedKeyLeast)
+		}
+	case "private_key_jwt":
+		if err := s.Key.read(); err != nil {
+			f.add(key+".key", "%w", err)
+		}
+	case "tls_client_auth", "self_signed_tls_client_auth":
+		if s.TLS.Cert == "" {
+			f.add(key+".tls.cert_file", "%s needs it", s.Auth)
+		}
+	default:
+		f.add(key+".auth", "unknown method %q", s.Auth)
+	}
+}
+
+// mostFallback bounds how long tokens are believed by their signatures alone.
+const mostFallback = time.Hour
+
 // mostIssuers bounds the cores that run: each issuer has two.
 const mostIssuers = 64
 
--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -86,7 +86,14 @@
 		}
 		s.claim()
 		now := time.Now()
-		c := &conn{s: s, nc: nc, frames: http1.NewRequests(http1.DefaultLimits), since: now, used: now}
+		c := &conn{
+			s:      s,
+			nc:     nc,
+			remote: nc.RemoteAddr().String(),
+			frames: http1.NewRequests(http1.DefaultLimits),
+			since:  now,
+			used:   now,
+		}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
@@ -192,9 +199,10 @@
 // conn is one client's connection. Its reader reads on while a request is being answered, for that is how
 // it learns that the client has gone.
 type conn struct {
-	s     *Server
-	nc    net.Conn
-	since time.Time
+	s      *Server
+	nc     net.Conn
+	remote string
+	since  time.Time
 
 	mu     sync.Mutex
 	frames *http1.Framer
@@ -324,6 +332,7 @@
 		c.refuse(err)
 		return
 	}
+	r.RemoteAddr = c.remote
 	if t, ok := c.nc.(*tls.Conn); ok {
 		state := t.ConnectionState()
 		r.TLS = &state
--- a/internal/net/secure/secure.go
+++ b/internal/net/secure/secure.go
@@ -20,10 +20,10 @@
 
 // Files are the TLS files of one side, all in PEM.
 type Files struct {
-	Cert, Key string // this program's own certificate, with those between it and the root; may be empty for clients
-	CA        string // the roots that the other side's must come from; empty: the system's for servers, and
-	// no client's certificate is asked for
-	Name string // what a server's certificate must name; empty: the host that was dialled
+	Cert, Key string // this program's certificate, with those up to the root; may be empty for clients
+	CA        string // the roots that the other side's must come from; empty: the system's
+	Ask       bool   // whether a server asks its clients for a certificate, which they may leave out
+	Name      string // what a server's certificate must name; empty: the host that was dialled
 }
 
 // Dialer opens connections, as net.Dialer.DialContext does.
@@ -119,6 +119,24 @@
 	return nil
 }
 
+// errNoRoots says that clients' certificates can't be traced to a root.
+var errNoRoots = errors.New("no roots for clients' certificates are set up")
+
+// Trust reports whether a client's chain of certificates ends in one of the roots in use.
+func (s *Side) Trust(chain []*x509.Certificate) error {
+	roots := s.conf.Load().ClientCAs
+	if roots == nil || len(chain) == 0 {
+		return errNoRoots
+	}
+	between := x509.NewCertPool()
+	for _, c := range chain[1:] {
+		between.AddCert(c)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{Roots: roots, Intermediates: between,
+		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}})
+	return err
+}
+
 // watchEvery is how often files are looked at. Renewals come days ahead of an end.
 const watchEvery = 5 * time.Second
 
@@ -192,8 +210,8 @@
 		}
 	}
 	switch {
-	case s.server && roots != nil:
-		conf.ClientCAs, conf.ClientAuth = roots, tls.VerifyClientCertIfGiven
+	case s.server && s.files.Ask:
+		conf.ClientCAs, conf.ClientAuth = roots, tls.RequestClientCert // looked at by Trust, or by whom it names
 	case !s.server:
 		conf.RootCAs, conf.ClientSessionCache = roots, tls.NewLRUClientSessionCache(64)
 	}
--- /dev/null
+++ b/internal/net/secure/secure_test.go
@@ -0,0 +1,343 @@
+package secure
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// authority is a root for tests.
+type authority struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	last int64
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{t: t, dir: t.TempDir()}
+	a.key = newKey(t)
+	a.cert = a.sign(
+		&x509.Certificate{Subject: pkix.Name{CommonName: "root"}, IsCA: true, BasicConstraintsValid: true,
+			KeyUsage: x509.KeyUsageCertSign, NotAfter: time.Now().Add(time.Hour)},
+		&a.key.PublicKey,
+		nil,
+	)
+	a.write("root.pem", "CERTIFICATE", a.cert.Raw)
+	return a
+}
+
+func newKey(t *testing.T) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func (a *authority) sign(
+	c *x509.Certificate,
+	public *ecdsa.PublicKey,
+	parent *x509.Certificate,
+) *x509.Certificate {
+	a.t.Helper()
+	a.last++
+	c.SerialNumber, c.NotBefore = big.NewInt(a.last), time.Now().Add(-2*time.Hour)
+	if parent == nil {
+		parent = c
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, c, parent, public, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(raw)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return cert
+}
+
+func (a *authority) write(name, kind string, raw []byte) string {
+	a.t.Helper()
+	path := filepath.Join(a.dir, name)
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+	return path
+}
+
+// issue writes a certificate and its key for a name.
+func (a *authority) issue(name string, life time.Duration) Files {
+	a.t.Helper()
+	key := newKey(a.t)
+	cert := a.sign(&x509.Certificate{Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
+		NotAfter: time.Now().Add(life)}, &key.PublicKey, a.cert)
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return Files{
+		Cert: a.write(name+".pem", "CERTIFICATE", cert.Raw),
+		Key:  a.write(name+".key", "PRIVATE KEY", raw),
+	}
+}
+
+func (a *authority) root() string { return filepath.Join(a.dir, "root.pem") }
+
+type safeLog struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (l *safeLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Buffer.Write(p)
+}
+
+func (l *safeLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Buffer.String()
+}
+
+// echo serves connections that send back what comes.
+func echo(t *testing.T, s *Side) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	wrapped := s.Listener(l)
+	go func() {
+		for {
+			c, err := wrapped.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func plain(ctx context.Context, network, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, network, addr)
+}
+
+// said sends a line and reads it back.
+func said(c net.Conn) error {
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := c.Write([]byte("ping")); err != nil {
+		return err
+	}
+	buf := make([]byte, 4)
+	if _, err := io.ReadFull(c, buf); err != nil {
+		return err
+	}
+	if string(buf) != "ping" {
+		return errors.New("not what was sent")
+	}
+	return nil
+}
+
+func dial(s *Side, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return s.Dial(plain)(ctx, "tcp", addr)
+}
+
+func mustOpen(t *testing.T, of func(Files, zerolog.Logger) (*Side, error), f Files, log io.Writer) *Side {
+	t.Helper()
+	s, err := of(f, zerolog.New(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Certificates are changed again and again while connections are opened and used: none fails, and those that
+// were open before go on.
+func TestRotationUnderLoad(t *testing.T) {
+	a := newAuthority(t)
+	server := mustOpen(t, Server, a.issue("ingress", time.Hour), io.Discard)
+	addr := echo(t, server)
+	client := mustOpen(t, Client, Files{CA: a.root(), Name: "ingress"}, io.Discard)
+	old, err := dial(client, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.Close()
+	var wait sync.WaitGroup
+	for range 4 {
+		wait.Go(func() {
+			for range 50 {
+				c, err := dial(client, addr)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if err := said(c); err != nil {
+					t.Error(err)
+				}
+				c.Close()
+			}
+		})
+	}
+	for range 10 {
+		a.issue("ingress", time.Hour)
+		if err := server.Reload(); err != nil {
+			t.Error(err)
+		}
+		if err := said(old); err != nil {
+			t.Errorf("the connection that was open before: %v", err)
+		}
+	}
+	wait.Wait()
+	// One that was never here before: others may resume their sessions, and are shown no certificate.
+	c, err := dial(mustOpen(t, Client, Files{CA: a.root(), Name: "ingress"}, io.Discard), addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if got := c.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Int64(); got != a.last {
+		t.Errorf("certificate %d is shown, want the newest, %d", got, a.last)
+	}
+}
+
+func TestABadNewFileLeavesTheOldInUse(t *testing.T) {
+	a := newAuthority(t)
+	var log safeLog
+	files := a.issue("ingress", time.Hour)
+	files.CA = a.root()
+	server := mustOpen(t, Server, files, &log)
+	addr := echo(t, server)
+	client := mustOpen(t, Client, Files{CA: a.root(), Name: "ingress"}, io.Discard)
+	good := map[string][]byte{}
+	for _, path := range []string{files.Cert, files.Key, files.CA} {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		good[path] = text
+	}
+	restore := func() {
+		for path, text := range good {
+			if err := os.WriteFile(path, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for name, spoil := range map[string]func(){
+		"no certificate": func() { os.WriteFile(files.Cert, []byte("nothing"), 0o600) },
+		"another's key": func() {
+			a.issue("other", time.Hour)
+			os.Rename(filepath.Join(a.dir, "other.key"), files.Key)
+		},
+		"gone":              func() { os.Remove(files.Cert) },
+		"no roots":          func() { os.WriteFile(files.CA, nil, 0o600) },
+		"expired by itself": func() { a.issue("ingress", -time.Hour) },
+	} {
+		spoil()
+		if server.Reload() == nil {
+			t.Errorf("%s: taken", name)
+		}
+		c, err := dial(client, addr)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+		} else {
+			c.Close()
+		}
+		restore()
+	}
+	if err := server.Reload(); err != nil {
+		t.Error(err)
+	}
+	for _, code := range []string{"certificate-not-taken", "certificate-taken", "certificate-ends"} {
+		if !strings.Contains(log.String(), code) {
+			t.Errorf("no line %s in the log", code)
+		}
+	}
+}
+
+func TestWhoIsNotTrusted(t *testing.T) {
+	a, stranger := newAuthority(t), newAuthority(t)
+	addr := echo(t, mustOpen(t, Server, a.issue("ingress", time.Hour), io.Discard))
+	for name, files := range map[string]Files{
+		"another's root":     {CA: stranger.root(), Name: "ingress"},
+		"another name":       {CA: a.root(), Name: "somebody"},
+		"the address's name": {CA: a.root()}, // 127.0.0.1, which the certificate does not name
+		"the system's roots": {Name: "ingress"},
+	} {
+		c, err := dial(mustOpen(t, Client, files, io.Discard), addr)
+		if err == nil {
+			c.Close()
+			t.Errorf("%s: connected", name)
+		}
+	}
+	old := &tls.Dialer{Config: &tls.Config{MaxVersion: tls.VersionTLS11, InsecureSkipVerify: true}}
+	if c, err := old.Dial("tcp", addr); err == nil {
+		c.Close()
+		t.Error("TLS 1.1 is taken")
+	}
+}
+
+// A server whose certificate is over is not asked: its clients see that at the handshake.
+func TestAnExpiredPeer(t *testing.T) {
+	a := newAuthority(t)
+	server := mustOpen(t, Server, a.issue("ingress", time.Hour), io.Discard)
+	client := mustOpen(t, Client, Files{CA: a.root(), Name: "ingress"}, io.Discard)
+	expired, err := tls.LoadX509KeyPair(a.issue("ingress", -time.Hour).Cert, filepath.Join(a.dir, "ingress.key"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	server.conf.Store(&tls.Config{Certificates: []tls.Certificate{expired}})
+	if c, err := dial(client, echo(t, server)); err == nil {
+		c.Close()
+		t.Error("connected to one whose certificate has expired")
+	}
+}
+
+func TestChangesAreSeen(t *testing.T) {
+	a := newAuthority(t)
+	s := mustOpen(t, Server, a.issue("ingress", time.Hour), io.Discard)
+	if s.changed() {
+		t.Error("changed without a change")
+	}
+	later := time.Now().Add(time.Minute)
+	if err := os.Chtimes(s.files.Key, later, later); err != nil {
+		t.Fatal(err)
+	}
+	if !s.changed() {
+		t.Error("a change is not seen")
+	}
+	if err := s.Reload(); err != nil || s.changed() {
+		t.Errorf("after reading again: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/oauth/accesstoken/accesstoken_test.go
@@ -0,0 +1,120 @@
+package accesstoken
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-jose/go-jose/v4"
+	"github.com/go-jose/go-jose/v4/jwt"
+)
+
+const now = 1_800_000_000 * time.Second
+
+func newKey(t testing.TB) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func sign(t testing.TB, key *ecdsa.PrivateKey, kind, kid string, claims map[string]any) string {
+	t.Helper()
+	o := (&jose.SignerOptions{}).WithType(jose.ContentType(kind)).WithHeader("kid", kid)
+	signer, err := jose.NewSigner(jose.SigningKey{Algorithm: jose.ES256, Key: key}, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := jwt.Signed(signer).Claims(claims).Serialize()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func good() map[string]any {
+	return map[string]any{
+		"iss":                  "https://as",
+		"sub":                  "me",
+		"aud":                  []string{"https://api"},
+		"jti":                  "1",
+		"client_id":            "app",
+		"iat":                  1_799_999_000,
+		"exp":                  1_800_000_001,
+		"active":               false,
+		"introspection_source": "mine",
+	}
+}
+
+func TestWhichTokensAreBelieved(t *testing.T) {
+	key, old := newKey(t), newKey(t)
+	r := Rules{Issuer: "https://as", Audiences: []string{"https://api"}, Skew: 5 * time.Second,
+		Keys: []jose.JSONWebKey{{Key: &old.PublicKey, KeyID: "old"}, {Key: &key.PublicKey, KeyID: "new"}}}
+	but := func(name string, v any) string {
+		c := good()
+		if c[name] = v; v == nil {
+			delete(c, name)
+		}
+		return sign(t, key, "at+jwt", "new", c)
+	}
+	for name, c := range map[string]struct {
+		text string
+		want error
+	}{
+		"good":             {but("x", 1), nil},
+		"the old key":      {sign(t, old, "at+jwt", "old", good()), nil},
+		"full type":        {sign(t, key, "application/at+jwt", "new", good()), nil},
+		"another type":     {sign(t, key, "JWT", "new", good()), ErrMalformed},
+		"another's key":    {sign(t, newKey(t), "at+jwt", "new", good()), ErrSignature},
+		"unknown key":      {sign(t, key, "at+jwt", "newest", good()), ErrSignature},
+		"alg none":         {"eyJhbGciOiJub25lIiwidHlwIjoiYXQrand0In0.e30.", ErrMalformed},
+		"another issuer":   {but("iss", "https://b"), ErrClaims},
+		"no subject":       {but("sub", nil), ErrClaims},
+		"no client":        {but("client_id", nil), ErrClaims},
+		"empty client":     {but("client_id", ""), ErrClaims},
+		"no id":            {but("jti", nil), ErrClaims},
+		"no end":           {but("exp", nil), ErrClaims},
+		"another audience": {but("aud", "https://apis"), ErrAudience},
+		"expired":          {but("exp", 1_800_000_000), ErrTime},
+		"of the future":    {but("iat", 1_800_000_006), ErrTime},
+		"not yet":          {but("nbf", 1_800_000_006), ErrTime},
+		"a clock 5 s off":  {but("nbf", 1_800_000_005), nil},
+		"too long":         {but("x", strings.Repeat("x", Most)), ErrMalformed},
+		"opaque":           {"abc", ErrMalformed},
+	} {
+		claims, err := Check(now, c.text, r)
+		if !errors.Is(err, c.want) || (claims == nil) != (err != nil) {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+		if err != nil {
+			continue
+		}
+		text, err := Answer(claims, "local")
+		if err != nil || !strings.Contains(string(text), `"active":true`) ||
+			!strings.Contains(string(text), `"sub":"me"`) ||
+			!strings.Contains(string(text), `"introspection_source":"local"`) {
+			t.Errorf("%s: %s, %v", name, text, err)
+		}
+	}
+}
+
+// Nothing that the issuer did not sign is believed.
+func FuzzCheck(f *testing.F) {
+	f.Add(sign(f, newKey(f), "at+jwt", "new", good()))
+	r := Rules{
+		Issuer:    "https://as",
+		Audiences: []string{"https://api"},
+		Keys:      []jose.JSONWebKey{{Key: &newKey(f).PublicKey}},
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := Check(now, text, r); err == nil {
+			t.Fatalf("%q is believed", text)
+		}
+	})
+}
