--- a/cmd/dunespoke/main.go
+++ b/cmd/dunespoke/main.go
@@ -23,6 +23,7 @@
 type commands struct {
 	Serve   serveCommand   `cmd:"" default:"withargs" help:"Serve until told to stop. The word may be left out."`
 	Check   checkCommand   `cmd:"" help:"Read operator's files, and name each fault with its key."`
+	Conform conformCommand `cmd:"" help:"Check an introspection endpoint against the RFCs."`
 	Version versionCommand `cmd:"" help:"Tell which build this is."`
 }
 
--- /dev/null
+++ b/internal/conform/report.go
@@ -0,0 +1,37 @@
+package conform
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// WriteTable writes a report for people.
+func (r *Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	count := map[Verdict]int{}
+	for _, x := range r.Results {
+		count[x.Verdict]++
+		line := fmt.Sprintf("%s\t%s\t%s\t%s", x.ID, x.Verdict, x.Section, x.Text)
+		if x.Why != "" {
+			line += ": " + x.Why
+		}
+		fmt.Fprintln(t, line)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("writing the report: %w", err)
+	}
+	_, err := fmt.Fprintf(w, "%s: %d pass, %d fail, %d skipped\n", r.URL, count[Pass], count[Fail], count[Skip])
+	return err
+}
+
+// WriteJSON writes a report for programs.
+func (r *Report) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(r); err != nil {
+		return fmt.Errorf("writing the report: %w", err)
+	}
+	return nil
+}
