--- a/cmd/dunespoke/introspect_test.go
+++ b/cmd/dunespoke/introspect_test.go
@@ -47,6 +47,24 @@
 		client wait 7s
 		client2 send $basic
 		idp2 expect token=tok`,
+	"a clock 5 s ahead: ends are read by the issuer's": `
+		client send $basic
+		idp expect token=tok
+		idp send HTTP/1.1 200 OK\r\nDate: Sat, 01 Jan 2000 00:00:06 GMT\r\nContent-Length: 31\r\n\r\n
+		idp send {"active":true,"exp":946684809}
+		client expect 946684809
+		client wait 1s
+		client send $basic
+		client expect 946684809
+		client wait 3s
+		client2 send $basic
+		idp expect token=tok`,
+	"a clock 5 s behind: what it calls active is": `
+		client send $basic
+		idp expect token=tok
+		idp send HTTP/1.1 200 OK\r\nDate: Fri, 31 Dec 1999 23:59:56 GMT\r\nContent-Length: 31\r\n\r\n
+		idp send {"active":true,"exp":946684800}
+		client expect 946684800`,
 	"silent for 10 s: refused in time, and not called inactive": `
 		client send $basic
 		idp expect token=tok
--- a/cmd/dunespoke/scenario_test.go
+++ b/cmd/dunespoke/scenario_test.go
@@ -110,6 +110,12 @@
 	bytes.Buffer
 }
 
+func (b *safeBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.String()
+}
+
 func (b *safeBuffer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/front/introspect/desk.go
+++ b/front/introspect/desk.go
@@ -303,5 +303,5 @@
 	}
 	d.clockAt = now + clocksEvery
 	d.Log.Warn().Str("code", "clocks-differ").Str("issuer", d.Issuer).Dur("ahead", ahead).
-		Msg("the issuer's clock is not ours: ends of its tokens are read by its own")
+		Msg("the issuer's clock is not ours: exp is read by its own")
 }
--- a/internal/config/introspection.go
+++ b/internal/config/introspection.go
@@ -121,6 +121,7 @@
 	Name      string   `toml:"name"`
 	Iss       string   `toml:"iss"`      // of its JWTs
 	Prefixes  []string `toml:"prefixes"` // of its tokens
+	Rest      bool     `toml:"rest"`     // it is asked about the rest, as one with neither is
 	Servers   []string `toml:"servers"`
 	Insecure  bool     `toml:"insecure"` // plain text, to loopback addresses
 	TLS       TLS      `toml:"tls"`
@@ -356,7 +357,7 @@
 func (n *Introspection) Table() (*issuers.Table, error) {
 	rules := make([]issuers.Rule, len(n.Issuers))
 	for i, s := range n.Issuers {
-		rules[i] = issuers.Rule{Name: s.Name, Iss: s.Iss, Prefixes: s.Prefixes}
+		rules[i] = issuers.Rule{Name: s.Name, Iss: s.Iss, Prefixes: s.Prefixes, Rest: s.Rest}
 	}
 	return issuers.New(rules)
 }
--- a/internal/issuers/issuers.go
+++ b/internal/issuers/issuers.go
@@ -15,11 +15,12 @@
 const MostToken = 16 << 10
 
 // Rule says which tokens one issuer answers for. One with neither Iss nor Prefixes answers for whatever no
-// other rule names, in its turn.
+// other rule names, in its turn, as does one with Rest.
 type Rule struct {
 	Name     string
 	Iss      string   // the "iss" of its JWTs
 	Prefixes []string // with which its tokens begin
+	Rest     bool     // it answers for the rest all the same
 }
 
 // Table chooses issuers. It does not change, and is safe for concurrent use.
@@ -56,7 +57,7 @@
 			}
 			t.prefixes = append(t.prefixes, prefix{p, i})
 		}
-		if r.Iss == "" && len(r.Prefixes) == 0 {
+		if r.Rest || r.Iss == "" && len(r.Prefixes) == 0 {
 			t.rest = append(t.rest, i)
 		}
 	}
--- a/internal/issuers/issuers_test.go
+++ b/internal/issuers/issuers_test.go
@@ -14,7 +14,7 @@
 func TestRoutes(t *testing.T) {
 	table, err := New([]Rule{{Name: "members", Iss: "https://a.example"},
 		{Name: "partners", Prefixes: []string{"pt_", "pt_old_x"}}, {Name: "old", Prefixes: []string{"pt_old_"}},
-		{Name: "first"}, {Name: "second"}})
+		{Name: "first"}, {Name: "second", Iss: "https://c.example", Rest: true}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/idp/idp.go
+++ b/internal/lab/idp/idp.go
@@ -6,6 +6,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	mathrand "math/rand/v2"
@@ -30,6 +31,8 @@
 	Life    time.Duration // of tokens, from when they are asked about first; 0: an hour
 	// Tokens that begin with this are not active; empty: "no-".
 	Inactive string
+	// Faulty is the path that the script is about; empty: all.
+	Faulty string
 	// ClientID and Secret are asked of callers, if set.
 	ClientID, Secret string
 }
@@ -67,6 +70,18 @@
 	return s, nil
 }
 
+// TLS returns the server's side of TLS: it shows a certificate, and while the script says so one that has
+// expired. good is asked for each connection, so that the certificate may change.
+func (s *Server) TLS(good func() (*tls.Certificate, error), expired *tls.Certificate) *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS12, SessionTicketsDisabled: true,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			if fault, _ := s.Script.At(time.Since(s.start), 0); fault.Kind == faults.Expired && expired != nil {
+				return expired, nil
+			}
+			return good()
+		}}
+}
+
 // Asked tells how many questions have come.
 func (s *Server) Asked() int64 { return s.asked.Load() }
 
@@ -93,6 +108,9 @@
 		s.asked.Add(1)
 	}
 	fault, _ := s.Script.At(now, mathrand.Float64())
+	if s.Faulty != "" && r.URL.Path != s.Faulty {
+		fault = faults.Step{}
+	}
 	if fault.Kind == faults.Silent {
 		s.silent(r, fault)
 		return
--- a/internal/net/secure/secure_test.go
+++ b/internal/net/secure/secure_test.go
@@ -3,16 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"errors"
 	"io"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
@@ -22,89 +15,37 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"dunespoke/internal/lab/ca"
 )
 
 // authority is a root for tests.
 type authority struct {
-	t    *testing.T
-	dir  string
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	last int64
+	*ca.Authority
+	t   *testing.T
+	dir string
 }
 
 func newAuthority(t *testing.T) *authority {
 	t.Helper()
-	a := &authority{t: t, dir: t.TempDir()}
-	a.key = newKey(t)
-	a.cert = a.sign(
-		&x509.Certificate{Subject: pkix.Name{CommonName: "root"}, IsCA: true, BasicConstraintsValid: true,
-			KeyUsage: x509.KeyUsageCertSign, NotAfter: time.Now().Add(time.Hour)},
-		&a.key.PublicKey,
-		nil,
-	)
-	a.write("root.pem", "CERTIFICATE", a.cert.Raw)
-	return a
-}
-
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	dir := t.TempDir()
+	a, err := ca.New(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return key
-}
-
-func (a *authority) sign(
-	c *x509.Certificate,
-	public *ecdsa.PublicKey,
-	parent *x509.Certificate,
-) *x509.Certificate {
-	a.t.Helper()
-	a.last++
-	c.SerialNumber, c.NotBefore = big.NewInt(a.last), time.Now().Add(-2*time.Hour)
-	if parent == nil {
-		parent = c
-	}
-	raw, err := x509.CreateCertificate(rand.Reader, c, parent, public, a.key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	cert, err := x509.ParseCertificate(raw)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	return cert
-}
-
-func (a *authority) write(name, kind string, raw []byte) string {
-	a.t.Helper()
-	path := filepath.Join(a.dir, name)
-	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600); err != nil {
-		a.t.Fatal(err)
-	}
-	return path
+	return &authority{a, t, dir}
 }
 
 // issue writes a certificate and its key for a name.
 func (a *authority) issue(name string, life time.Duration) Files {
 	a.t.Helper()
-	key := newKey(a.t)
-	cert := a.sign(&x509.Certificate{Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
-		NotAfter: time.Now().Add(life)}, &key.PublicKey, a.cert)
-	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	p, err := a.Issue(name, life)
 	if err != nil {
 		a.t.Fatal(err)
 	}
-	return Files{
-		Cert: a.write(name+".pem", "CERTIFICATE", cert.Raw),
-		Key:  a.write(name+".key", "PRIVATE KEY", raw),
-	}
+	return Files{Cert: p.Cert, Key: p.Key}
 }
 
-func (a *authority) root() string { return filepath.Join(a.dir, "root.pem") }
-
 type safeLog struct {
 	mu sync.Mutex
 	bytes.Buffer
@@ -188,7 +129,7 @@
 	a := newAuthority(t)
 	server := mustOpen(t, Server, a.issue("ingress", time.Hour), io.Discard)
 	addr := echo(t, server)
-	client := mustOpen(t, Client, Files{CA: a.root(), Name: "ingress"}, io.Discard)
+	client := mustOpen(t, Client, Files{CA: a.Root(), Name: "ingress"}, io.Discard)
 	old, err := dial(client, addr)
 	if err != nil {
 		t.Fatal(err)
@@ -221,13 +162,13 @@
 	}
 	wait.Wait()
 	// One that was never here before: others may resume their sessions, and are shown no certificate.
-	c, err := dial(mustOpen(t, Client, Files{CA: a.root(), Name: "ingress"}, io.Discard), addr)
+	c, err := dial(mustOpen(t, Client, Files{CA: a.Root(), Name: "ingress"}, io.Discard), addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
-	if got := c.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Int64(); got != a.last {
-		t.Errorf("certificate %d is shown, want the newest, %d", got, a.last)
+	if got := c.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Int64(); got != a.Last() {
+		t.Errorf("certificate %d is shown, want the newest, %d", got, a.Last())
 	}
 }
 
@@ -235,10 +176,10 @@
 	a := newAuthority(t)
 	var log safeLog
 	files := a.issue("ingress", time.Hour)
-	files.CA = a.root()
+	files.CA = a.Root()
 	server := mustOpen(t, Server, files, &log)
 	addr := echo(t, server)
-	client := mustOpen(t, Client, Files{CA: a.root(), Name: "ingress"}, io.Discard)
+	client := mustOpen(t, Client, Files{CA: a.Root(), Name: "ingress"}, io.Discard)
 	good := map[string][]byte{}
 	for _, path := range []string{files.Cert, files.Key, files.CA} {
 		text, err := os.ReadFile(path)
@@ -290,9 +231,9 @@
 	a, stranger := newAuthority(t), newAuthority(t)
 	addr := echo(t, mustOpen(t, Server, a.issue("ingress", time.Hour), io.Discard))
 	for name, files := range map[string]Files{
-		"another's root":     {CA: stranger.root(), Name: "ingress"},
-		"another name":       {CA: a.root(), Name: "somebody"},
-		"the address's name": {CA: a.root()}, // 127.0.0.1, which the certificate does not name
+		"another's root":     {CA: stranger.Root(), Name: "ingress"},
+		"another name":       {CA: a.Root(), Name: "somebody"},
+		"the address's name": {CA: a.Root()}, // 127.0.0.1, which the certificate does not name
 		"the system's roots": {Name: "ingress"},
 	} {
 		c, err := dial(mustOpen(t, Client, files, io.Discard), addr)
@@ -312,7 +253,7 @@
 func TestAnExpiredPeer(t *testing.T) {
 	a := newAuthority(t)
 	server := mustOpen(t, Server, a.issue("ingress", time.Hour), io.Discard)
-	client := mustOpen(t, Client, Files{CA: a.root(), Name: "ingress"}, io.Discard)
+	client := mustOpen(t, Client, Files{CA: a.Root(), Name: "ingress"}, io.Discard)
 	expired, err := tls.LoadX509KeyPair(a.issue("ingress", -time.Hour).Cert, filepath.Join(a.dir, "ingress.key"))
 	if err != nil {
 		t.Fatal(err)
