--- a/cmd/dunelab/payday.go
+++ b/cmd/dunelab/payday.go
@@ -31,6 +31,7 @@
 	Zipf   float64  `help:"Skew of their use." default:"1.1"`
 	Only   []string `help:"Rows to play, by their names; none: all."`
 	Runs   int      `help:"Times that each row is played." default:"1"`
+	Log    string   `help:"File to which the program's log is added."`
 }
 
 // The phases of the day.
@@ -44,6 +45,9 @@
 	idpAddr    = "127.0.0.1:18801"
 )
 
+// phaseNames are the parts of the day.
+var phaseNames = [...]string{"Well", "Five times slower", "Silent", "Back"}
+
 const dayScript = `
 at 10s for 15s slow x5
 at 25s for 10s silent
@@ -96,7 +100,8 @@
 
 // Run plays all rows and prints their table.
 func (c *paydayCommand) Run(ctx context.Context) error {
-	var rows, silent strings.Builder
+	var rows strings.Builder
+	phases := make([]strings.Builder, len(phaseNames))
 	for _, v := range variants {
 		if v.Old && c.Before == "" || len(c.Only) > 0 && !contains(c.Only, v.Name) {
 			continue
@@ -112,7 +117,9 @@
 			}
 			fmt.Fprintln(os.Stderr, "played:", name)
 			rows.WriteString(d.row(name))
-			silent.WriteString(tableRow(name, d.report.Phases[2]))
+			for i := range phases {
+				phases[i].WriteString(tableRow(name, d.report.Phases[i]))
+			}
 		}
 	}
 	fmt.Print(
@@ -120,11 +127,10 @@
 		"p99 ms | questions put | full service after | CPU µs a question |\n",
 		strings.Repeat("| --- ", 11),
 		"|\n",
-		rows.String(),
-		"\nThe 10 s of silence:\n\n",
-		tableHead("set up"),
-		silent.String(),
-	)
+		rows.String())
+	for i, name := range phaseNames {
+		fmt.Print("\n", name, ":\n\n", tableHead("set up"), phases[i].String())
+	}
 	return nil
 }
 
@@ -174,6 +180,14 @@
 	daemon.Env = append(os.Environ(), "DUNESPOKE_OPERATOR="+file, "GOMAXPROCS=1")
 	daemon.Cancel = func() error { return daemon.Process.Signal(syscall.SIGTERM) }
 	daemon.Stderr = os.Stderr
+	if c.Log != "" {
+		f, err := os.OpenFile(c.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		defer f.Close()
+		daemon.Stdout = f
+	}
 	if err := daemon.Start(); err != nil {
 		return nil, err
 	}
--- a/cmd/dunespoke/introspect_test.go
+++ b/cmd/dunespoke/introspect_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"crypto/sha256"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"dunespoke/internal/config"
 )
@@ -147,6 +150,40 @@
 	}
 }
 
+// While the program runs the operator's file is read again, with another client in it: quotas that were used
+// stay used, the question under way is answered, and the connection to the service is used on.
+func TestReloadKeepsWhatIsValid(t *testing.T) {
+	reload := func(p *program) {
+		time.AfterFunc(2*time.Second, func() {
+			o := testOperator("")
+			o.Introspection.Clients = append(o.Introspection.Clients, config.Client{ID: "new", Plan: "few",
+				SecretHash: sha256.Sum256([]byte("b"))})
+			p.reloadOperator(&o, nil)
+		})
+		time.AfterFunc(4*time.Second, func() { p.reloadOperator(nil, errors.New("bad file")) })
+	}
+	log := play(t, nil, testOperator(""), strings.Repeat(told, 11)+`
+		client send $basic
+		idp expect token=tok
+		client wait 2500ms
+		idp send $json16\r\n\r\n{"active":false}
+		client expect false
+		client send $basic
+		client expect HTTP/1.1 429
+		client2 send POST /introspect HTTP/1.1\r\nHost: h\r\nAuthorization: Basic bmV3OmI=\r\n$form
+		idp expect token=tok
+		idp send $json16\r\n\r\n{"active":false}
+		client2 expect false
+		client2 wait 1600ms
+		client2 send POST /introspect HTTP/1.1\r\nHost: h\r\nAuthorization: Basic bmV3OmI=\r\n$form
+		idp expect token=tok
+		idp send $json15\r\n\r\n{"active":true}
+		client2 expect true`, reload)
+	if !strings.Contains(log, `"reloaded"`) || !strings.Contains(log, `"reload-failed"`) {
+		t.Errorf("the log:\n%s", log)
+	}
+}
+
 // However many ask while the service is silent for 10 s, each gets one answer within its patience of 3 s, and
 // none is told that its token is not active.
 func TestManyAskASilentService(t *testing.T) {
--- a/cmd/dunespoke/questions.go
+++ b/cmd/dunespoke/questions.go
@@ -114,7 +114,7 @@
 	}
 	if r := n.Resource; r != nil {
 		o.Resource = &introspect.Resource{Resource: r.Resource, Servers: r.Servers, Scopes: r.Scopes, Name: r.Name,
-			Docs: r.Docs, Methods: []string{"header"}}
+			Docs: r.Docs, Methods: []string{"header"}, DPoP: bearer.DPoPAlgorithms()}
 	}
 	return nil
 }
--- a/front/introspect/bearer_test.go
+++ b/front/introspect/bearer_test.go
@@ -44,13 +44,13 @@
 			func(token string) (string, time.Duration) { return answers[token], time.Millisecond },
 		)
 		guard := NewBearer(Bearer{Front: r.front, Plan: "member", Classes: classes})
-		wrap, err := middleware.Bearer(middleware.BearerOptions{Introspector: answers,
+		byMiddleware, err := middleware.Bearer(middleware.BearerOptions{Introspector: answers,
 			Require: func(r *http.Request) bearer.Requirement { return classes[strings.TrimPrefix(r.URL.Path, "/")] }})
 		if err != nil {
 			t.Fatal(err)
 		}
 		through := 0
-		handler := wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler := byMiddleware.Middleware(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if c, ok := middleware.Claims(r.Context()); !ok || !c.Active {
 				t.Error("let through without claims")
 			}
@@ -100,14 +100,14 @@
 
 // What a service's silence means is the same for both, too: no answer calls a token inactive.
 func TestSilenceIsNoRefusalOfTheToken(t *testing.T) {
-	wrap, err := middleware.Bearer(middleware.BearerOptions{Introspector: told{}})
+	guard, err := middleware.Bearer(middleware.BearerOptions{Introspector: told{}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	req := httptest.NewRequest("GET", "http://h/", nil)
 	req.Header.Set("Authorization", "Bearer x")
 	w := httptest.NewRecorder()
-	wrap(http.NotFoundHandler()).ServeHTTP(w, req)
+	guard.Middleware(http.NotFoundHandler()).ServeHTTP(w, req)
 	if w.Code != 503 || w.Header().Get("Retry-After") != "1" ||
 		strings.Contains(w.Body.String(), "invalid_token") {
 		t.Errorf("%d %v %s", w.Code, w.Header(), w.Body)
--- a/front/introspect/desk_test.go
+++ b/front/introspect/desk_test.go
@@ -268,6 +268,7 @@
 			all = append(all, r.ask(fmt.Sprint("token-", i)))
 			time.Sleep(2500 * time.Microsecond)
 		}
+		time.Sleep(time.Second) // the last trial is given up, too
 		early := 0
 		put := r.front.now.Load().Issuers[0].Desk.Counts().Put - 100
 		r.services[0].becomes(says(`{"active":true}`, 10*time.Millisecond))
--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -29,7 +29,7 @@
 
 // Default is what zero fields of Options stand for.
 var Default = Options{MostOut: 64, Failures: 5, Window: 20, Share: 0.6, FirstRest: 250 * time.Millisecond,
-	MostRest: time.Second}
+	MostRest: 500 * time.Millisecond}
 
 func (o Options) filled() Options {
 	fill(&o.MostOut, Default.MostOut)
--- a/internal/breaker/breaker_test.go
+++ b/internal/breaker/breaker_test.go
@@ -65,7 +65,7 @@
 }
 
 func TestTrialsAreSingleAndRestsDouble(t *testing.T) {
-	b := New(Options{})
+	b := New(Options{MostRest: time.Second})
 	opened(t, b, 0)
 	now, rests := time.Duration(0), []time.Duration{250 * ms, 500 * ms, time.Second, time.Second}
 	for _, rest := range rests {
@@ -161,7 +161,7 @@
 
 func TestOptionsThatMakeNoSense(t *testing.T) {
 	for _, o := range []Options{{MostOut: -1}, {Failures: -1}, {Window: -2}, {Share: 1.5}, {Share: -1},
-		{FirstRest: 2 * time.Second}, {FirstRest: -1}} {
+		{FirstRest: time.Second}, {FirstRest: -1}} {
 		if o.Validate() == nil {
 			t.Errorf("%+v is taken", o)
 		}
--- a/middleware/bearer.go
+++ b/middleware/bearer.go
@@ -40,7 +40,7 @@
 	Require func(*http.Request) bearer.Requirement
 	Proofs  *bearer.Memory // of DPoP; nil: one for 60,000 at a time
 	Base    string         // of the URLs that proofs name, as in "https://api.example"; empty: as asked
-	Log     func(class *bearer.Refusal)
+	Log     func(*bearer.Refusal)
 }
 
 type claimsKey struct{}
@@ -53,9 +53,11 @@
 
 var errNoIntrospector = errors.New("middleware: BearerOptions.Introspector is missing")
 
-// Bearer returns a middleware that lets requests through by their access tokens, by the same rules and with
-// the same answers as the daemon's check.
-func Bearer(o BearerOptions) (func(http.Handler) http.Handler, error) {
+// BearerGuard lets requests through by their access tokens.
+type BearerGuard struct{ o BearerOptions }
+
+// Bearer returns a guard that goes by the same rules and gives the same answers as the daemon's check.
+func Bearer(o BearerOptions) (*BearerGuard, error) {
 	if o.Introspector == nil {
 		return nil, errNoIntrospector
 	}
@@ -68,14 +70,25 @@
 	if o.Log == nil {
 		o.Log = func(*bearer.Refusal) {}
 	}
-	return func(next http.Handler) http.Handler {
-		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			claims, ok := o.check(w, r)
-			if ok {
-				next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), claimsKey{}, claims)))
-			}
-		})
-	}, nil
+	return &BearerGuard{o}, nil
+}
+
+// Middleware wraps a handler, which finds what is known of the token by Claims.
+func (g *BearerGuard) Middleware(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r, ok := g.Check(w, r); ok {
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+// Check returns the request, with what is known of its token, if that lets it through; else it answers it.
+func (g *BearerGuard) Check(w http.ResponseWriter, r *http.Request) (*http.Request, bool) {
+	claims, ok := g.o.check(w, r)
+	if !ok {
+		return nil, false
+	}
+	return r.WithContext(context.WithValue(r.Context(), claimsKey{}, claims)), true
 }
 
 // check answers a request that its token does not let through.
--- a/middleware/ginmw/ginmw.go
+++ b/middleware/ginmw/ginmw.go
@@ -1,4 +1,5 @@
-// Package ginmw is a thin adapter that makes a middleware.Limiter a gin middleware.
+// Package ginmw makes a middleware.Limiter and a middleware.BearerGuard gin middlewares. It is a thin
+// adapter.
 package ginmw
 
 import (
@@ -25,6 +26,20 @@
 	}
 }
 
+// Bearer returns a gin middleware that lets requests through by their access tokens. Handlers behind it find
+// what is known of the token by middleware.Claims(c.Request.Context()).
+func Bearer(g *middleware.BearerGuard) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		r, ok := g.Check(c.Writer, c.Request)
+		if !ok {
+			c.Abort()
+			return
+		}
+		c.Request = r
+		c.Next()
+	}
+}
+
 // writer is gin's view of the answer that the limiter keeps back.
 type writer struct {
 	gin.ResponseWriter // for what is not overridden here
