Share one way of handing a request on between fronts, and one way of reading a bearer

Need: the platform's guard and the introspection front's bearer callers held the same state of a request that its client may leave at any moment, and the daemon and the middleware each read what came with a bearer token.

Change: front/relay is that state; bearer.Read takes the request.

--- a/bearer/bearer.go
+++ b/bearer/bearer.go
@@ -84,16 +84,16 @@
 	Certificate []byte // DER, of the client's side of TLS; nil: none
 }
 
-// Read reads what came with a request in its headers. The URL and the certificate are the caller's to fill
-// in.
-func Read(h http.Header) (Shown, *Refusal) {
-	values := h.Values("Authorization")
+// Read reads what came with a request. base is what the URLs that proofs name begin with, where a balancer
+// ends TLS before this program; empty: as the request was asked.
+func Read(r *http.Request, base string) (Shown, *Refusal) {
+	values := r.Header.Values("Authorization")
 	if len(values) == 0 {
 		return Shown{}, &Refusal{Status: http.StatusUnauthorized, scheme: "Bearer"}
 	}
 	scheme, token, _ := strings.Cut(values[0], " ")
 	token = strings.TrimSpace(token)
-	s := Shown{Token: token, Proofs: h.Values("Dpop")}
+	s := Shown{Token: token, Proofs: r.Header.Values("Dpop"), Method: r.Method}
 	switch {
 	case strings.EqualFold(scheme, "Bearer"):
 		s.Scheme = "Bearer"
@@ -104,6 +104,17 @@
 		return Shown{}, &Refusal{Status: http.StatusBadRequest, Code: "invalid_request", scheme: "Bearer",
 			Description: "want one header with one bearer token"}
 	}
+	scheme = "http://"
+	if r.TLS != nil {
+		scheme = "https://"
+		if len(r.TLS.PeerCertificates) > 0 {
+			s.Certificate = r.TLS.PeerCertificates[0].Raw
+		}
+	}
+	if base == "" {
+		base = scheme + r.Host
+	}
+	s.URL = strings.TrimSuffix(base, "/") + r.URL.Path
 	return s, nil
 }
 
--- a/bearer/bearer_test.go
+++ b/bearer/bearer_test.go
@@ -8,7 +8,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/json"
-	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -239,7 +239,16 @@
 		"pad alone":    {[]string{"Bearer =="}, 400, ""},
 		"pad in front": {[]string{"Bearer =a"}, 400, ""},
 	} {
-		s, refusal := Read(http.Header{"Authorization": c.headers})
+		r := httptest.NewRequest("GET", "https://api.example/pay?x=1", nil)
+		r.Header["Authorization"] = c.headers
+		s, refusal := Read(r, "")
+		if refusal == nil && (s.URL != "https://api.example/pay" || s.Method != "GET") {
+			t.Errorf("%s: %+v", name, s)
+		}
+		if behind, _ := Read(r, "https://public.example/"); refusal == nil &&
+			behind.URL != "https://public.example/pay" {
+			t.Errorf("%s: %+v", name, behind)
+		}
 		if (refusal == nil) != (c.status == 0) || refusal != nil && refusal.Status != c.status ||
 			s.Token != c.token {
 			t.Errorf("%s: %+v, %v", name, s, refusal)
--- a/front/introspect/bearer.go
+++ b/front/introspect/bearer.go
@@ -1,7 +1,6 @@
 package introspect
 
 import (
-	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -31,15 +30,11 @@
 // is one to a request that never ran.
 func (b *Bearer) Check(r *http1.Request, in core.Request, then func(*http1.Answer)) (leave func()) {
 	s := b.Front.now.Load()
-	shown, refusal := bearer.Read(r.Header)
+	shown, refusal := bearer.Read(r.Request, b.Base)
 	if refusal != nil {
 		then(b.refused(in.Class, refusal))
 		return nil
 	}
-	shown.Method, shown.URL = r.Method, b.url(r)
-	if r.TLS != nil && len(r.TLS.PeerCertificates) > 0 {
-		shown.Certificate = r.TLS.PeerCertificates[0].Raw
-	}
 	required, named := b.Classes[in.Class]
 	if !named {
 		required = b.Others
@@ -64,18 +59,6 @@
 	})
 }
 
-// url is what the client asked, as far as a proof names it.
-func (b *Bearer) url(r *http1.Request) string {
-	if b.Base != "" {
-		return strings.TrimSuffix(b.Base, "/") + r.URL.Path
-	}
-	scheme := "http://"
-	if r.TLS != nil {
-		scheme = "https://"
-	}
-	return scheme + r.Host + r.URL.Path
-}
-
 // refused words a refusal, and logs it without the token.
 func (b *Bearer) refused(class string, r *bearer.Refusal) *http1.Answer {
 	if r.Code != "" {
--- a/front/introspect/callers.go
+++ b/front/introspect/callers.go
@@ -8,10 +8,10 @@
 	"net/url"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"dunespoke/core"
+	"dunespoke/front/relay"
 	"dunespoke/internal/http1"
 )
 
@@ -32,14 +32,6 @@
 // callerBit tells the accounts of callers' addresses from those of clients.
 const callerBit = 1<<63 | 1<<62
 
-// relay is a question whose asker must be known by another one first.
-type relay struct {
-	mu    sync.Mutex
-	left  bool
-	moved bool // it is about the question itself now
-	leave func()
-}
-
 // serveCaller asks about the caller's own token first, within the same deadline.
 func (s *setup) serveCaller(r *http1.Request, form url.Values, by shown, deadline time.Duration,
 	respond func(*http1.Answer)) (leave func()) {
@@ -51,33 +43,17 @@
 	if err != nil {
 		host = r.RemoteAddr
 	}
-	g := &relay{}
-	first := s.ask(core.Request{Plan: s.Callers.Plan, Customer: Customer(host) | callerBit, Spread: s.Gateways,
+	g := &relay.Relay{}
+	g.First(s.ask(core.Request{Plan: s.Callers.Plan, Customer: Customer(host) | callerBit, Spread: s.Gateways,
 		Deadline: deadline}, by.secret, "access_token", func(v verdict) {
 		client, problem := s.caller(by, v)
 		if problem != nil {
 			respond(problem)
 			return
 		}
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		if !g.left {
-			g.moved, g.leave = true, s.serve(r, form, client, deadline, respond)
-		}
-	})
-	g.mu.Lock()
-	if !g.moved {
-		g.leave = first
-	}
-	g.mu.Unlock()
-	return func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.left = true
-		if g.leave != nil {
-			g.leave()
-		}
-	}
+		g.Move(func() func() { return s.serve(r, form, client, deadline, respond) })
+	}))
+	return g.Leave
 }
 
 // caller tells which client a caller's token stands for, or answers it.
--- a/middleware/bearer.go
+++ b/middleware/bearer.go
@@ -99,14 +99,10 @@
 		problem(w, refusal.Status, refusal.Body())
 		return bearer.Claims{}, false
 	}
-	shown, refusal := bearer.Read(r.Header)
+	shown, refusal := bearer.Read(r, o.Base)
 	if refusal != nil {
 		return refuse(refusal)
 	}
-	shown.Method, shown.URL = r.Method, o.url(r)
-	if r.TLS != nil && len(r.TLS.PeerCertificates) > 0 {
-		shown.Certificate = r.TLS.PeerCertificates[0].Raw
-	}
 	text, err := o.Introspector.Introspect(r.Context(), shown.Token)
 	var claims bearer.Claims
 	if err == nil {
@@ -123,17 +119,6 @@
 	return claims, true
 }
 
-func (o *BearerOptions) url(r *http.Request) string {
-	if o.Base != "" {
-		return strings.TrimSuffix(o.Base, "/") + r.URL.Path
-	}
-	scheme := "http://"
-	if r.TLS != nil {
-		scheme = "https://"
-	}
-	return scheme + r.Host + r.URL.Path
-}
-
 func unavailable(w http.ResponseWriter, err error) {
 	status, code, text := http.StatusBadGateway, "server_error", "the introspection service gave no answer"
 	var u *Unavailable
