--- a/internal/http1/chunks.go
+++ b/internal/http1/chunks.go
@@ -7,6 +7,9 @@
 	state chunkState
 	left  int    // bytes of the present chunk still to come
 	line  []byte // of a size or a trailer, as far as it came
+
+	keep    int    // bytes of trailers to keep; 0: none
+	trailer []byte // those kept, each line with its end
 }
 
 type chunkState int
@@ -24,15 +27,29 @@
 // Feed takes bytes, hands those of the body to data, and returns how many it used: fewer than all only once
 // the body has ended, as done tells.
 func (c *Chunks) Feed(p []byte, data func([]byte)) (used int, done bool, err error) {
+	for {
+		piece, n, done, err := c.One(p[used:])
+		used += n
+		if len(piece) > 0 {
+			data(piece)
+		}
+		if err != nil || done || used == len(p) {
+			return used, done, err
+		}
+	}
+}
+
+// One takes bytes up to the end of the first ones that belong to the body, which it returns where they
+// stand, and how many it used.
+func (c *Chunks) One(p []byte) (piece []byte, used int, done bool, err error) {
 	for used < len(p) && c.state != chunkDone {
 		if c.state == chunkData {
 			n := min(c.left, len(p)-used)
-			data(p[used : used+n])
-			used += n
+			piece = p[used : used+n]
 			if c.left -= n; c.left == 0 {
 				c.state = chunkEnd
 			}
-			continue
+			return piece, used + n, false, nil
 		}
 		end := bytes.IndexByte(p[used:], '\n')
 		if end < 0 {
@@ -43,15 +60,15 @@
 			used += end + 1
 		}
 		if len(c.line) > longestLine {
-			return used, false, bad(400, "chunk-line-too-long")
+			return nil, used, false, bad(400, "chunk-line-too-long")
 		}
 		if end >= 0 {
 			if err := c.endLine(); err != nil {
-				return used, false, err
+				return nil, used, false, err
 			}
 		}
 	}
-	return used, c.state == chunkDone, nil
+	return nil, used, c.state == chunkDone, nil
 }
 
 // endLine handles a whole line outside the data.
@@ -70,6 +87,17 @@
 	case chunkTrailer:
 		if len(line) == 0 {
 			c.state = chunkDone
+			break
+		}
+		name, _, ok := bytes.Cut(line, []byte(":"))
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") || bytes.ContainsAny(line, "\r\x00") {
+			return bad(400, "trailer-line")
+		}
+		if c.keep > 0 {
+			if len(c.trailer)+len(line)+2 > c.keep {
+				return bad(431, "trailer-too-large")
+			}
+			c.trailer = append(append(c.trailer, line...), '\r', '\n')
 		}
 	case chunkSize:
 		digits, _, _ := bytes.Cut(line, []byte(";"))
--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -217,16 +217,30 @@
 	return len(status) > 0 && status[0] == '1'
 }
 
-// frame reads from the lines of a head how long the body is. It guards against requests that two readers
-// could take for different ones: a length and chunks, two lengths, lines carried on, odd line ends.
+// frame reads from the lines of a head how long the body is, and whether it is too long.
 func (f *Framer) frame(lines []byte) error {
-	length, chunked := -1, false
+	form, length, err := framing(lines, f.response)
+	switch {
+	case err != nil:
+		return err
+	case form == formLength && length > int64(f.limits.Body):
+		return bad(413, "body-too-large")
+	}
+	f.form, f.need = form, int(length)
+	return nil
+}
+
+// framing reads from the lines of a head how a body is framed, and its length where it has one. It guards
+// against messages that two readers could take for different ones: a length and chunks, two lengths, lines
+// carried on, odd line ends.
+func framing(lines []byte, response bool) (form, int64, error) {
+	length, chunked := int64(-1), false
 	first, lines, _ := bytes.Cut(lines, []byte("\r\n"))
 	if bytes.IndexByte(first, '\n') >= 0 {
-		return bad(400, "bare-line-feed")
+		return 0, 0, bad(400, "bare-line-feed")
 	}
-	if f.response && !statusLine(first) {
-		return bad(502, "status-line")
+	if response && !statusLine(first) {
+		return 0, 0, bad(502, "status-line")
 	}
 	for len(lines) > 0 {
 		var line []byte
@@ -234,35 +248,33 @@
 		name, value, ok := bytes.Cut(line, []byte(":"))
 		switch {
 		case bytes.ContainsAny(line, "\n\r\x00"):
-			return bad(400, "bare-line-feed")
+			return 0, 0, bad(400, "bare-line-feed")
 		case !ok || len(name) == 0 || bytes.ContainsAny(name, " \t"):
-			return bad(400, "header-line")
+			return 0, 0, bad(400, "header-line")
 		case bytes.EqualFold(name, []byte("Content-Length")):
 			n, ok := decimal(bytes.Trim(value, " \t"))
 			if !ok || length >= 0 {
-				return bad(400, "content-length")
+				return 0, 0, bad(400, "content-length")
 			}
 			length = n
 		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 			if chunked || !bytes.EqualFold(bytes.Trim(value, " \t"), []byte("chunked")) {
-				return bad(400, "transfer-encoding")
+				return 0, 0, bad(400, "transfer-encoding")
 			}
 			chunked = true
 		}
 	}
 	switch {
 	case chunked && length >= 0:
-		return bad(400, "length-and-chunked")
+		return 0, 0, bad(400, "length-and-chunked")
+	case response && bodyless(first):
+		return formLength, 0, nil
 	case chunked:
-		f.form = formChunked
-	case length > f.limits.Body:
-		return bad(413, "body-too-large")
-	case length < 0 && f.response && !bodyless(first):
-		f.form = formUntilEnd
-	default:
-		f.form, f.need = formLength, max(0, length)
+		return formChunked, 0, nil
+	case length < 0 && response:
+		return formUntilEnd, 0, nil
 	}
-	return nil
+	return formLength, max(0, length), nil
 }
 
 // bodyless reports whether a status line is of a response that never has a body.
@@ -272,11 +284,12 @@
 		bytes.HasPrefix(status, []byte("304"))
 }
 
-func decimal(digits []byte) (n int, ok bool) {
+// decimal reads a length: digits alone, and fewer than an int64 holds.
+func decimal(digits []byte) (n int64, ok bool) {
 	odd := func(r rune) bool { return r < '0' || r > '9' }
-	if len(digits) == 0 || len(digits) > 9 || bytes.ContainsFunc(digits, odd) {
+	if len(digits) == 0 || len(digits) > 15 || bytes.ContainsFunc(digits, odd) {
 		return 0, false
 	}
-	n, err := strconv.Atoi(string(digits))
+	n, err := strconv.ParseInt(string(digits), 10, 64)
 	return n, err == nil
 }
