Let scenario steps settle, so that accept's tests give the same verdict on a busy machine

Cause: expect and wait closed returned as soon as the party saw what it waited for, while the code under test was still on its way to what the next step asks about.

Change: these steps wait until all goroutines of the bubble stand still, as the others did.

--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -172,7 +172,7 @@
 			return err.Error()
 		}
 	case "expect":
-		return x.await(func() bool {
+		problem = x.await(func() bool {
 			_, after, found := bytes.Cut(x.came, []byte(text))
 			if found {
 				x.came = after
@@ -183,7 +183,8 @@
 		x.conn.Close()
 	case "wait":
 		if text == "closed" {
-			return x.await(func() bool { return x.ended })
+			problem = x.await(func() bool { return x.ended })
+			break
 		}
 		synctest.Wait()
 		x.mu.Lock()
@@ -194,8 +195,8 @@
 	default:
 		return "unknown verb"
 	}
-	synctest.Wait()
-	return ""
+	synctest.Wait() // the code under test may still be busy with what the step has seen
+	return problem
 }
 
 func (p *player) listener(name string) *listener {
