--- a/bearer/bearer_test.go
+++ b/bearer/bearer_test.go
@@ -3,16 +3,16 @@
 import (
 	"crypto"
 	"crypto/ecdsa"
-	"crypto/elliptic"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/base64"
-	"encoding/json"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"dunespoke/internal/lab/sign"
+
 	"github.com/go-jose/go-jose/v4"
 )
 
@@ -113,14 +113,7 @@
 	key *ecdsa.PrivateKey
 }
 
-func newProver(t testing.TB) prover {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return prover{t, key}
-}
+func newProver(t testing.TB) prover { return prover{t, sign.Key(t)} }
 
 func (p prover) print() string {
 	sum, err := (&jose.JSONWebKey{Key: &p.key.PublicKey}).Thumbprint(crypto.SHA256)
@@ -131,25 +124,7 @@
 }
 
 func (p prover) prove(kind string, claims map[string]any) string {
-	p.t.Helper()
-	signer, err := jose.NewSigner(jose.SigningKey{Algorithm: jose.ES256, Key: p.key},
-		(&jose.SignerOptions{EmbedJWK: true}).WithType(jose.ContentType(kind)))
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	text, err := json.Marshal(claims)
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	signed, err := signer.Sign(text)
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	compact, err := signed.CompactSerialize()
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	return compact
+	return sign.JWT(p.t, jose.ES256, p.key, kind, "", true, claims)
 }
 
 func TestDPoP(t *testing.T) {
--- a/cmd/dunelab/main.go
+++ b/cmd/dunelab/main.go
@@ -4,25 +4,32 @@
 
 import (
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 
+	"dunespoke/internal/conform"
+	"dunespoke/internal/lab/endpoint"
 	"dunespoke/internal/lab/faults"
 	"dunespoke/internal/lab/idp"
 	"dunespoke/internal/lab/load"
 )
 
 type commands struct {
-	Idp    idpCommand    `cmd:"" help:"Play an authorization server, with faults by script."`
-	Load   loadCommand   `cmd:"" help:"Ask an introspection front questions, in an open loop."`
-	Payday paydayCommand `cmd:"" help:"Measure introspection on a payday, by feature switched off in turn."`
+	Idp      idpCommand      `cmd:"" help:"Play an authorization server, with faults by script."`
+	Endpoint endpointCommand `cmd:"" help:"Play an introspection endpoint with a defect, for dunespoke conform."`
+	Load     loadCommand     `cmd:"" help:"Ask an introspection front questions, in an open loop."`
+	Payday   paydayCommand   `cmd:"" help:"Measure introspection on a payday, by feature switched off in turn."`
 }
 
 type idpCommand struct {
@@ -56,24 +63,62 @@
 
 // startIdp plays an authorization server at a loopback address.
 func startIdp(addr string, o idp.Options) (s *idp.Server, end func(), err error) {
+	end, err = serve(addr, func(addr string) (http.Handler, error) {
+		if o.Issuer == "" {
+			o.Issuer = "http://" + addr
+		}
+		var err error
+		s, err = idp.New(o)
+		return s, err
+	})
+	return s, end, err
+}
+
+// serve has what is made for an address answer at it. Only loopback addresses are taken.
+func serve(addr string, made func(addr string) (http.Handler, error)) (end func(), err error) {
 	host, _, err := net.SplitHostPort(addr)
 	if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
-		return nil, nil, fmt.Errorf("%s: want a loopback address", addr)
+		return nil, fmt.Errorf("%s: want a loopback address", addr)
 	}
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	if o.Issuer == "" {
-		o.Issuer = "http://" + l.Addr().String()
-	}
-	if s, err = idp.New(o); err != nil {
+	handler, err := made(l.Addr().String())
+	if err != nil {
 		l.Close()
-		return nil, nil, err
+		return nil, err
 	}
-	h := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, ErrorLog: nil}
+	h := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	go h.Serve(l)
-	return s, func() { h.Close() }, nil
+	return func() { h.Close() }, nil
+}
+
+type endpointCommand struct {
+	Listen string `help:"Loopback address." default:"127.0.0.1:8802" env:"DUNESPOKE_LAB_LISTEN"`
+	Defect string `help:"Number of the requirement that it breaks, as in 7662-12; none: it keeps all."`
+}
+
+// Run plays the endpoint until told to stop.
+func (c *endpointCommand) Run(ctx context.Context) error {
+	if c.Defect != "" && !slices.Contains(conform.IDs(), c.Defect) {
+		return fmt.Errorf("%s: no such requirement", c.Defect)
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	end, err := serve(c.Listen, func(addr string) (http.Handler, error) {
+		return &endpoint.Endpoint{Defect: c.Defect, URL: "http://" + addr, Key: key}, nil
+	})
+	if err != nil {
+		return err
+	}
+	defer end()
+	fmt.Printf("listening on %s; client %q, secret %q, token %q\n", c.Listen, endpoint.ClientID, endpoint.Secret,
+		endpoint.Token)
+	<-ctx.Done()
+	return nil
 }
 
 type loadCommand struct {
--- a/cmd/dunespoke/live_test.go
+++ b/cmd/dunespoke/live_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
@@ -23,7 +20,6 @@
 	"time"
 
 	"github.com/go-jose/go-jose/v4"
-	"github.com/go-jose/go-jose/v4/jwt"
 	"github.com/rs/zerolog"
 
 	"dunespoke/internal/config"
@@ -31,6 +27,7 @@
 	"dunespoke/internal/lab/ca"
 	"dunespoke/internal/lab/faults"
 	"dunespoke/internal/lab/idp"
+	"dunespoke/internal/lab/sign"
 	"dunespoke/internal/net/direct"
 )
 
@@ -69,11 +66,7 @@
 
 func (l *live) signingKey(name string) {
 	l.t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err == nil {
-		err = ca.WriteKey(filepath.Join(l.dir, name), key)
-	}
-	if err != nil {
+	if err := ca.WriteKey(filepath.Join(l.dir, name), sign.Key(l.t)); err != nil {
 		l.t.Fatal(err)
 	}
 }
@@ -318,19 +311,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	signer, err := jose.NewSigner(jose.SigningKey{Algorithm: jose.ES256, Key: key},
-		(&jose.SignerOptions{}).WithType("at+jwt"))
-	if err != nil {
-		t.Fatal(err)
-	}
 	now := time.Now().Unix()
-	token, err := jwt.Signed(signer).
-		Claims(map[string]any{"iss": "https://as.example", "aud": "api", "sub": "me",
-			"jti": "1", "client_id": "x", "iat": now, "exp": now + 600}).
-		Serialize()
-	if err != nil {
-		t.Fatal(err)
-	}
+	token := sign.JWT(t, jose.ES256, key, "at+jwt", "", false, map[string]any{"iss": "https://as.example",
+		"aud": "api", "sub": "me", "jti": "1", "client_id": "x", "iat": now, "exp": now + 600})
 	refused := 0
 	for end := time.Now().Add(20 * time.Second); ; {
 		status, text, err := l.ask(token)
--- a/front/introspect/callers.go
+++ b/front/introspect/callers.go
@@ -39,9 +39,12 @@
 		respond(s.refuseCaller(by, errNotItsWay))
 		return nil
 	}
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		host = r.RemoteAddr
+	host := ""
+	if r.Peer != nil {
+		host = r.Peer.String()
+	}
+	if name, _, err := net.SplitHostPort(host); err == nil { // all ports of an address are one caller
+		host = name
 	}
 	g := &relay.Relay{}
 	g.First(s.ask(core.Request{Plan: s.Callers.Plan, Customer: Customer(host) | callerBit, Spread: s.Gateways,
--- a/front/introspect/clients_test.go
+++ b/front/introspect/clients_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/ecdsa"
-	"crypto/elliptic"
 	"crypto/rand"
 	"crypto/rsa"
 	"crypto/sha256"
@@ -23,24 +22,16 @@
 
 	"dunespoke/internal/http1"
 	"dunespoke/internal/issuers"
+	"dunespoke/internal/lab/sign"
 	"dunespoke/internal/oauth/assertion"
 
 	"dunespoke/internal/freshness"
 )
 
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
 // certificate makes one that is its own root.
 func certificate(t *testing.T, name string) *x509.Certificate {
 	t.Helper()
-	key := newKey(t)
+	key := sign.Key(t)
 	c := &x509.Certificate{
 		SerialNumber: big.NewInt(1),
 		Subject:      pkix.Name{CommonName: name, Organization: []string{"x"}},
@@ -66,7 +57,7 @@
 }
 
 func TestWhoMayAsk(t *testing.T) {
-	key, secret := newKey(t), strings.Repeat("s", 32)
+	key, secret := sign.Key(t), strings.Repeat("s", 32)
 	trusted, self, other := certificate(t, "trusted"), certificate(t, "self"), certificate(t, "other")
 	inBubble(t, func(t *testing.T) {
 		r := newRig(t, oneRule, freshness.Options{}, 1e6)
@@ -152,7 +143,7 @@
 			{"key, once", replayed, nil, 200, ""},
 			{"key, again", replayed, nil, 401, "shown before"},
 			{"key, another audience", made("key", "https://there.example", key, "ES256"), nil, 401, "audience"},
-			{"another's key", made("key", here, newKey(t), "ES256"), nil, 401, "signature"},
+			{"another's key", made("key", here, sign.Key(t), "ES256"), nil, 401, "signature"},
 			{"alg none", none, nil, 401, "not a JWT"},
 			{"shared", made("shared", here, []byte(secret), "HS256"), nil, 200, ""},
 			{"another secret", made("shared", here, []byte(strings.Repeat("x", 32)), "HS256"), nil, 401, "signature"},
@@ -201,7 +192,7 @@
 }
 
 func TestSignedAnswers(t *testing.T) {
-	first, second := newKey(t), newKey(t)
+	first, second := sign.Key(t), sign.Key(t)
 	box, err := rsa.GenerateKey(rand.Reader, 2048)
 	if err != nil {
 		t.Fatal(err)
@@ -318,7 +309,7 @@
 }
 
 func TestKeysThatCannotSign(t *testing.T) {
-	key := newKey(t)
+	key := sign.Key(t)
 	for name, k := range map[string]jose.JSONWebKey{
 		"public":       {Key: &key.PublicKey, KeyID: "1", Algorithm: "ES256"},
 		"no id":        {Key: key, Algorithm: "ES256"},
@@ -335,7 +326,7 @@
 // A configuration read again takes effect for the next question, and what assertions were shown is
 // remembered.
 func TestUseKeepsWhatWasShown(t *testing.T) {
-	key := newKey(t)
+	key := sign.Key(t)
 	inBubble(t, func(t *testing.T) {
 		r := newRig(t, []issuers.Rule{{Name: "only"}}, freshness.Options{}, 1e6)
 		o := r.options
--- a/front/introspect/credentials_test.go
+++ b/front/introspect/credentials_test.go
@@ -11,6 +11,7 @@
 
 	"dunespoke/core"
 	"dunespoke/internal/http1"
+	"dunespoke/internal/lab/sign"
 	"dunespoke/internal/oauth/assertion"
 	"dunespoke/internal/oauth/replay"
 )
@@ -60,7 +61,7 @@
 	if _, form := sent(t, CertificateCredential("app")); form.Get("client_id") != "app" || len(form) != 3 {
 		t.Errorf("certificate: %v", form)
 	}
-	key := newKey(t)
+	key := sign.Key(t)
 	maker, err := assertion.NewMaker("app", "https://as.example/ask", time.Minute, key, "ES256", "1")
 	if err != nil {
 		t.Fatal(err)
--- a/front/introspect/desk_test.go
+++ b/front/introspect/desk_test.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/go-jose/go-jose/v4"
-	"github.com/go-jose/go-jose/v4/jwt"
 	"github.com/rs/zerolog"
 
 	"dunespoke/choice"
@@ -23,6 +22,7 @@
 	"dunespoke/internal/freshness"
 	"dunespoke/internal/http1"
 	"dunespoke/internal/issuers"
+	"dunespoke/internal/lab/sign"
 	"dunespoke/internal/localcount"
 )
 
@@ -160,7 +160,6 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	req.RemoteAddr = "127.0.0.1:1"
 	req.Header.Set("Content-Type", "application/x-www-form-urlencoded")
 	if with != nil {
 		with(req)
@@ -439,25 +438,16 @@
 // While the issuer is left alone, a token that proves itself is answered for here, within the bound; one
 // that does not is refused as before.
 func TestFallback(t *testing.T) {
-	key, stranger := newKey(t), newKey(t)
+	key, stranger := sign.Key(t), sign.Key(t)
 	inBubble(t, func(t *testing.T) {
 		r := newRig(t, oneRule, freshness.Options{}, 1e6)
 		desk := r.options.Issuers[0].Desk
 		desk.Fallback = &Fallback{Issuer: "https://as", Audiences: []string{"api"}, For: 5 * time.Second,
 			Keys: func() []jose.JSONWebKey { return []jose.JSONWebKey{{Key: &key.PublicKey}} }}
 		token := func(by *ecdsa.PrivateKey) string {
-			signer, err := jose.NewSigner(jose.SigningKey{Algorithm: jose.ES256, Key: by},
-				(&jose.SignerOptions{}).WithType("at+jwt"))
-			if err != nil {
-				t.Fatal(err)
-			}
 			now := time.Now().Unix()
-			text, err := jwt.Signed(signer).Claims(map[string]any{"iss": "https://as", "aud": "api", "sub": "me",
-				"jti": "1", "client_id": "x", "iat": now, "exp": now + 60}).Serialize()
-			if err != nil {
-				t.Fatal(err)
-			}
-			return text
+			return sign.JWT(t, jose.ES256, by, "at+jwt", "", false, map[string]any{"iss": "https://as", "aud": "api",
+				"sub": "me", "jti": "1", "client_id": "x", "iat": now, "exp": now + 60})
 		}
 		good, forged := token(key), token(stranger)
 		r.services[0].becomes(says("", 0))
--- a/internal/conform/checks.go
+++ b/internal/conform/checks.go
@@ -152,13 +152,18 @@
 	return r.wantJSON()
 }
 
+// object asks about a token and reads the answer as a JSON object.
+func (s *session) object(ctx context.Context, token string) (map[string]any, error) {
+	r, err := s.ask(ctx, token)
+	if err != nil {
+		return nil, err
+	}
+	return r.object()
+}
+
 func activeIsBoolean(ctx context.Context, s *session) error {
 	for _, token := range []string{s.Token, s.inactive} {
-		r, err := s.ask(ctx, token)
-		if err != nil {
-			return err
-		}
-		o, err := r.object()
+		o, err := s.object(ctx, token)
 		if err != nil {
 			return err
 		}
@@ -170,11 +175,7 @@
 }
 
 func memberTypes(ctx context.Context, s *session) error {
-	r, err := s.ask(ctx, s.Token)
-	if err != nil {
-		return err
-	}
-	o, err := r.object()
+	o, err := s.object(ctx, s.Token)
 	if err != nil {
 		return err
 	}
@@ -203,11 +204,7 @@
 }
 
 func notExpired(ctx context.Context, s *session) error {
-	r, err := s.ask(ctx, s.Token)
-	if err != nil {
-		return err
-	}
-	o, err := r.object()
+	o, err := s.object(ctx, s.Token)
 	if err != nil {
 		return err
 	}
@@ -234,11 +231,7 @@
 }
 
 func nothingElse(ctx context.Context, s *session) error {
-	r, err := s.ask(ctx, s.inactive)
-	if err != nil {
-		return err
-	}
-	o, err := r.object()
+	o, err := s.object(ctx, s.inactive)
 	if err == nil && len(o) != 1 {
 		err = fmt.Errorf("%d members are told", len(o))
 	}
--- a/internal/conform/conform.go
+++ b/internal/conform/conform.go
@@ -188,6 +188,10 @@
 		c(r)
 	}
 	res, err := client.Do(r)
+	var in *url.Error
+	if errors.As(err, &in) { // its text has the URL, and some of those have secrets and tokens in them
+		err = in.Err
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,7 +14,8 @@
 // Request is a whole request.
 type Request struct {
 	*http.Request
-	Content []byte // the body
+	Content []byte   // the body
+	Peer    net.Addr // who sent it, where the driver tells
 }
 
 // Response is a whole response.
@@ -51,7 +53,7 @@
 	if err != nil {
 		return nil, bad(400, "malformed-body")
 	}
-	return &Request{r, content}, nil
+	return &Request{Request: r, Content: content}, nil
 }
 
 // Response parses a whole response to a request that was not HEAD.
--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -89,7 +89,6 @@
 		c := &conn{
 			s:      s,
 			nc:     nc,
-			remote: nc.RemoteAddr().String(),
 			frames: http1.NewRequests(http1.DefaultLimits),
 			since:  now,
 			used:   now,
@@ -199,10 +198,9 @@
 // conn is one client's connection. Its reader reads on while a request is being answered, for that is how
 // it learns that the client has gone.
 type conn struct {
-	s      *Server
-	nc     net.Conn
-	remote string
-	since  time.Time
+	s     *Server
+	nc    net.Conn
+	since time.Time
 
 	mu     sync.Mutex
 	frames *http1.Framer
@@ -332,7 +330,7 @@
 		c.refuse(err)
 		return
 	}
-	r.RemoteAddr = c.remote
+	r.Peer = c.nc.RemoteAddr()
 	if t, ok := c.nc.(*tls.Conn); ok {
 		state := t.ConnectionState()
 		r.TLS = &state
--- a/internal/oauth/accesstoken/accesstoken_test.go
+++ b/internal/oauth/accesstoken/accesstoken_test.go
@@ -1,43 +1,18 @@
 package accesstoken
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"errors"
 	"strings"
 	"testing"
 	"time"
 
+	"dunespoke/internal/lab/sign"
+
 	"github.com/go-jose/go-jose/v4"
-	"github.com/go-jose/go-jose/v4/jwt"
 )
 
 const now = 1_800_000_000 * time.Second
 
-func newKey(t testing.TB) *ecdsa.PrivateKey {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
-func sign(t testing.TB, key *ecdsa.PrivateKey, kind, kid string, claims map[string]any) string {
-	t.Helper()
-	o := (&jose.SignerOptions{}).WithType(jose.ContentType(kind)).WithHeader("kid", kid)
-	signer, err := jose.NewSigner(jose.SigningKey{Algorithm: jose.ES256, Key: key}, o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	text, err := jwt.Signed(signer).Claims(claims).Serialize()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return text
-}
-
 func good() map[string]any {
 	return map[string]any{
 		"iss":                  "https://as",
@@ -53,7 +28,7 @@
 }
 
 func TestWhichTokensAreBelieved(t *testing.T) {
-	key, old := newKey(t), newKey(t)
+	key, old := sign.Key(t), sign.Key(t)
 	r := Rules{Issuer: "https://as", Audiences: []string{"https://api"}, Skew: 5 * time.Second,
 		Keys: []jose.JSONWebKey{{Key: &old.PublicKey, KeyID: "old"}, {Key: &key.PublicKey, KeyID: "new"}}}
 	but := func(name string, v any) string {
@@ -61,18 +36,18 @@
 		if c[name] = v; v == nil {
 			delete(c, name)
 		}
-		return sign(t, key, "at+jwt", "new", c)
+		return sign.JWT(t, jose.ES256, key, "at+jwt", "new", false, c)
 	}
 	for name, c := range map[string]struct {
 		text string
 		want error
 	}{
 		"good":             {but("x", 1), nil},
-		"the old key":      {sign(t, old, "at+jwt", "old", good()), nil},
-		"full type":        {sign(t, key, "application/at+jwt", "new", good()), nil},
-		"another type":     {sign(t, key, "JWT", "new", good()), ErrMalformed},
-		"another's key":    {sign(t, newKey(t), "at+jwt", "new", good()), ErrSignature},
-		"unknown key":      {sign(t, key, "at+jwt", "newest", good()), ErrSignature},
+		"the old key":      {sign.JWT(t, jose.ES256, old, "at+jwt", "old", false, good()), nil},
+		"full type":        {sign.JWT(t, jose.ES256, key, "application/at+jwt", "new", false, good()), nil},
+		"another type":     {sign.JWT(t, jose.ES256, key, "JWT", "new", false, good()), ErrMalformed},
+		"another's key":    {sign.JWT(t, jose.ES256, sign.Key(t), "at+jwt", "new", false, good()), ErrSignature},
+		"unknown key":      {sign.JWT(t, jose.ES256, key, "at+jwt", "newest", false, good()), ErrSignature},
 		"alg none":         {"eyJhbGciOiJub25lIiwidHlwIjoiYXQrand0In0.e30.", ErrMalformed},
 		"another issuer":   {but("iss", "https://b"), ErrClaims},
 		"no subject":       {but("sub", nil), ErrClaims},
@@ -106,11 +81,11 @@
 
 // Nothing that the issuer did not sign is believed.
 func FuzzCheck(f *testing.F) {
-	f.Add(sign(f, newKey(f), "at+jwt", "new", good()))
+	f.Add(sign.JWT(f, jose.ES256, sign.Key(f), "at+jwt", "new", false, good()))
 	r := Rules{
 		Issuer:    "https://as",
 		Audiences: []string{"https://api"},
-		Keys:      []jose.JSONWebKey{{Key: &newKey(f).PublicKey}},
+		Keys:      []jose.JSONWebKey{{Key: &sign.Key(f).PublicKey}},
 	}
 	f.Fuzz(func(t *testing.T, text string) {
 		if _, err := Check(now, text, r); err == nil {
--- a/internal/oauth/assertion/assertion_test.go
+++ b/internal/oauth/assertion/assertion_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"encoding/base64"
 	"encoding/json"
 	"errors"
@@ -14,20 +12,12 @@
 	"github.com/go-jose/go-jose/v4"
 	"github.com/go-jose/go-jose/v4/jwt"
 
+	"dunespoke/internal/lab/sign"
 	"dunespoke/internal/oauth/replay"
 )
 
 const now = 1_800_000_000 * time.Second
 
-func newKey(t testing.TB) *ecdsa.PrivateKey {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
 func rules(keys ...jose.JSONWebKey) Rules {
 	m := replay.New(100)
 	return Rules{ClientID: "app", Audiences: []string{"https://here/introspect", "https://here"}, Keys: keys,
@@ -40,27 +30,13 @@
 
 func at(d time.Duration) *jwt.NumericDate { return jwt.NewNumericDate(time.Unix(0, int64(d))) }
 
-// sign makes a JWT of any claims.
-func sign(t testing.TB, algorithm jose.SignatureAlgorithm, key any, claims any) string {
-	t.Helper()
-	signer, err := jose.NewSigner(jose.SigningKey{Algorithm: algorithm, Key: key}, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	text, err := jwt.Signed(signer).Claims(claims).Serialize()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return text
-}
-
 func TestGoodOnceAndNeverAgain(t *testing.T) {
-	key := newKey(t)
+	key := sign.Key(t)
 	m, err := NewMaker("app", "https://here/introspect", 30*time.Second, key, "ES256", "k1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := rules(public(newKey(t), "k0"), public(key, "k1"))
+	r := rules(public(sign.Key(t), "k0"), public(key, "k1"))
 	text, err := m.Make(now)
 	if err != nil {
 		t.Fatal(err)
@@ -82,7 +58,7 @@
 }
 
 func TestWhatIsRefused(t *testing.T) {
-	key, other := newKey(t), newKey(t)
+	key, other := sign.Key(t), sign.Key(t)
 	good := jwt.Claims{Issuer: "app", Subject: "app", Audience: jwt.Audience{"https://here"}, ID: "1",
 		Expiry: at(now + 30*time.Second)}
 	change := func(f func(*jwt.Claims)) jwt.Claims {
@@ -90,14 +66,15 @@
 		f(&c)
 		return c
 	}
-	but := func(f func(*jwt.Claims)) string { return sign(t, jose.ES256, key, change(f)) }
+	but := func(f func(*jwt.Claims)) string { return sign.JWT(t, jose.ES256, key, "", "", false, change(f)) }
 	payload, err := json.Marshal(good)
 	if err != nil {
 		t.Fatal(err)
 	}
 	b64 := base64.RawURLEncoding.EncodeToString
 	none := b64([]byte(`{"alg":"none"}`)) + "." + b64(payload) + "."
-	signed := sign(t, jose.ES256, key, good)
+	byShared := sign.JWT(t, jose.HS256, []byte(strings.Repeat("k", 32)), "", "", false, good)
+	signed := sign.JWT(t, jose.ES256, key, "", "", false, good)
 	parts := strings.Split(signed, ".")
 	forged := parts[0] + "." + b64(
 		[]byte(strings.Replace(string(payload), `"jti":"1"`, `"jti":"2"`, 1)),
@@ -109,8 +86,8 @@
 		"good":             {signed, nil},
 		"alg none":         {none, ErrAlgorithm},
 		"another payload":  {forged, ErrSignature},
-		"another's key":    {sign(t, jose.ES256, other, good), ErrSignature},
-		"a secret's alg":   {sign(t, jose.HS256, []byte(strings.Repeat("k", 32)), good), ErrAlgorithm},
+		"another's key":    {sign.JWT(t, jose.ES256, other, "", "", false, good), ErrSignature},
+		"a secret's alg":   {byShared, ErrAlgorithm},
 		"another audience": {but(func(c *jwt.Claims) { c.Audience = jwt.Audience{"x"} }), ErrAudience},
 		"no audience":      {but(func(c *jwt.Claims) { c.Audience = nil }), ErrAudience},
 		"another issuer":   {but(func(c *jwt.Claims) { c.Issuer = "x" }), ErrClaims},
@@ -153,14 +130,14 @@
 		t.Error(err)
 	}
 	// A public key must not do as a secret that everybody knows.
-	key := newKey(t)
+	key := sign.Key(t)
 	if err := Check(now, text, rules(public(key, ""))); !errors.Is(err, ErrAlgorithm) {
 		t.Errorf("HS256 before a key: %v", err)
 	}
 }
 
 func TestAClientThatFillsItsMemory(t *testing.T) {
-	key := newKey(t)
+	key := sign.Key(t)
 	r := rules(public(key, ""))
 	m, err := NewMaker("app", "https://here", time.Minute, key, "ES256", "")
 	if err != nil {
@@ -182,7 +159,7 @@
 }
 
 func TestKeySets(t *testing.T) {
-	key := newKey(t)
+	key := sign.Key(t)
 	private := jose.JSONWebKey{Key: key, KeyID: "p"}
 	for name, c := range map[string]struct {
 		keys []jose.JSONWebKey
@@ -204,12 +181,15 @@
 
 // Nothing that was not signed by the key is ever believed.
 func FuzzCheck(f *testing.F) {
-	key := newKey(f)
+	key := sign.Key(f)
 	f.Add(
-		sign(
+		sign.JWT(
 			f,
 			jose.ES256,
-			newKey(f),
+			sign.Key(f),
+			"",
+			"",
+			false,
 			jwt.Claims{Issuer: "app", Subject: "app", ID: "1", Expiry: at(now + time.Second),
 				Audience: jwt.Audience{"https://here"}},
 		),
--- a/internal/oauth/replay/replay.go
+++ b/internal/oauth/replay/replay.go
@@ -29,8 +29,6 @@
 
 type key [16]byte // of SHA-256: chance can't make two the same, and nobody gains by making them so
 
-// Memory's size in bytes is about 64 for each of the most that it remembers.
-
 // New returns a memory for at most so many at a time.
 func New(most int) *Memory { return &Memory{most: most, seen: map[key]struct{}{}} }
 
