Give the breaker a way never to open; without one it kept a note of each question

Cause, found in reading the diff again: breaker = false was made by a window without end, and the list of the latest ends grew by a byte with each question, for ever.

Change: Options.Never; nothing is learned then, and the bulkhead alone counts.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -25,6 +25,7 @@
 	Share     float64       // of bad ones among them that opens it
 	FirstRest time.Duration // from opening to the first trial
 	MostRest  time.Duration // between later trials, at most
+	Never     bool          // it never opens: the bulkhead alone counts
 }
 
 // Default is what zero fields of Options stand for.
@@ -189,6 +190,7 @@
 // learn takes what one question says of the service.
 func (b *Breaker) learn(now time.Duration, p *Permit, bad bool) {
 	switch {
+	case b.set.Never:
 	case b.state == Open && !bad:
 		// Of a trial, or of a question asked before that is answered after all: it is there again.
 		b.enter(Returning)
--- a/internal/breaker/breaker_test.go
+++ b/internal/breaker/breaker_test.go
@@ -144,6 +144,17 @@
 	}
 }
 
+// One that never opens keeps nothing of what it is told, however long that goes on.
+func TestNever(t *testing.T) {
+	b := New(Options{Never: true, MostOut: 2})
+	for range 1000 {
+		b.Done(0, ask(t, b, 0), Bad, 0)
+	}
+	if b.State() != Closed || len(b.latest) > 0 {
+		t.Errorf("%v, %d kept", b.State(), len(b.latest))
+	}
+}
+
 func TestBulkhead(t *testing.T) {
 	b := New(Options{MostOut: 3})
 	first := ask(t, b, 0)
--- a/internal/config/introspection.go
+++ b/internal/config/introspection.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"net/url"
 	"slices"
 	"strings"
@@ -366,9 +365,7 @@
 func (s *Issuer) Options() breaker.Options {
 	o := breaker.Options{MostOut: s.MostOut, Failures: s.Failures, FirstRest: time.Duration(s.FirstRest),
 		MostRest: time.Duration(s.MostRest)}
-	if s.Breaker != nil && !*s.Breaker { // the bulkhead stays
-		o.Failures, o.Window = math.MaxInt, math.MaxInt
-	}
+	o.Never = s.Breaker != nil && !*s.Breaker
 	return o
 }
 
