--- /dev/null
+++ b/cmd/dunespoke/gateway_test.go
@@ -0,0 +1,357 @@
+package main
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"dunespoke/internal/config"
+)
+
+// gatewayConf has one app server at "app" and routes of each class; a withdrawal's body is never held.
+func gatewayConf() config.Operator {
+	second := config.Duration(time.Second)
+	g := config.Gateway{
+		Listen:    "ingress",
+		Insecure:  true,
+		Head:      16 << 10,
+		Short:     16,
+		Gateways:  1,
+		Drain:     5 * second,
+		Transfers: config.Transfers{Bytes: 16 << 10, Window: 4 << 10, Least: 1 << 10},
+		Pace:      config.Pace{ClientStall: 20 * second, ServerStall: 20 * second},
+		Pools: []config.Pool{{Name: "apps", Servers: []string{"app"}, Insecure: true, KeepAlive: 10 * second,
+			DialTimeout: second / 4, Attempts: 3}},
+		Classes: []config.Class{{Name: "read", Repeat: "safe", Aim: second, Deadline: 4 * second},
+			{Name: "withdrawal", Repeat: "never", Aim: second, Deadline: 4 * second}},
+		Plans: []config.Plan{{Name: "basic", Rate: 0.1, Burst: 12}},
+		Routes: []config.Route{
+			{Path: "/{rest...}", Pool: "apps", Class: "read", Plan: "basic", Customer: "header:X-Account", Units: 1,
+				Spread: 1, Replay: 2 << 10, Upload: 20 * second},
+			{Path: "/withdraw", Methods: []string{"POST"}, Pool: "apps", Class: "withdrawal", Plan: "basic",
+				Customer: "header:X-Account", Units: 1, Spread: 1}},
+	}
+	return config.Operator{Gateway: g}
+}
+
+var gatewayWords = map[string]string{
+	"get":     `GET /a/b?c=d HTTP/1.1\r\nHost: shop.example\r\n$who\r\n`,
+	"who":     `X-Account: 7\r\n`,
+	"post":    `POST /withdraw HTTP/1.1\r\nHost: h\r\n$who`,
+	"put":     `PUT /file HTTP/1.1\r\nHost: h\r\n$who`,
+	"chunked": `Transfer-Encoding: chunked\r\n\r\n`,
+	"ok":      `HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nmoney`,
+	"long":    strings.Repeat("0123456789abcdef", 64), // 1 KiB
+}
+
+// through plays a script against the gateway, and returns the log.
+func through(t *testing.T, o config.Operator, script string, hooks ...func(*program)) string {
+	t.Helper()
+	for name, text := range gatewayWords {
+		words["g-"+name] = strings.ReplaceAll(text, "$", "$g-")
+	}
+	return play(t, nil, o, script, hooks...)
+}
+
+func TestGatewayPassesWhatBelongsToTheMessage(t *testing.T) {
+	through(t, gatewayConf(), `
+		client send GET /a/b?c=d HTTP/1.1\r\nHost: shop.example\r\n$g-who
+		client send Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n
+		client send X-Forwarded-For: 1.2.3.4\r\nForwarded: for=1.2.3.4\r\n
+		client send Traceparent: 00-aa-bb-01\r\nUpgrade: websocket\r\n\r\n
+		app expect GET /a/b?c=d HTTP/1.1\r\nHost: shop.example\r\n
+		app expect Forwarded: for=unknown;host="shop.example";proto=http\r\n
+		app expect Traceparent: 00-aa-bb-01\r\nVia: 1.1 dunespoke\r\nX-Account: 7\r\n
+		app expect X-Forwarded-Host: shop.example\r\nX-Forwarded-Proto: http\r\n\r\n
+		app wait nothing
+		app send HTTP/1.1 404 Gone Fishing\r\nX-A: 1\r\nConnection: X-B\r\nX-B: 2\r\nContent-Length: 2\r\n\r\nno
+		client expect HTTP/1.1 404 Gone Fishing\r\nVia: 1.1 dunespoke\r\nX-A: 1\r\nContent-Length: 2\r\n\r\nno
+		client wait nothing
+		client wait 10ms
+		client send HEAD /x HTTP/1.1\r\nHost: h\r\n$g-who\r\n
+		app expect HEAD /x HTTP/1.1\r\n
+		app send HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n
+		client expect Content-Length: 500\r\n\r\n
+		client wait 10ms
+		client send $g-get
+		app expect GET /a/b
+		app send HTTP/1.1 304 Not Modified\r\nEtag: "x"\r\n\r\n
+		client expect Etag: "x"\r\n
+		client wait 10ms
+		client send $g-get
+		app expect GET /a/b
+		app send HTTP/1.1 103 Early Hints\r\nLink: </s>\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n
+		client expect 103 Early Hints\r\nLink: </s>\r\n\r\nHTTP/1.1 204 No Content\r\nVia: 1.1 dunespoke\r\n\r\n
+		client wait nothing
+	`)
+}
+
+func TestGatewayStreamsAnswersAsTheyCome(t *testing.T) {
+	through(t, gatewayConf(), `
+		client send $g-get
+		app expect GET /a/b
+		app send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n5;ext=1\r\nhello\r\n
+		client expect Trailer: X-Sum\r\n
+		client expect Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n
+		client wait nothing
+		app send 3\r\nyou\r\n0\r\nX-Sum: 1\r\nContent-Length: 9\r\n\r\n
+		client expect 3\r\nyou\r\n0\r\nX-Sum: 1\r\n\r\n
+		client wait nothing
+		client wait 10ms
+		client send $g-get
+		app expect GET /a/b
+		app send HTTP/1.0 200 OK\r\n\r\nuntil the
+		client expect 9\r\nuntil the\r\n
+		app send  end
+		app close
+		client expect end\r\n0\r\n\r\n
+		client send GET /old HTTP/1.0\r\n$g-who\r\n
+		app2 expect GET /old HTTP/1.1\r\n
+		app2 send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n
+		client expect Connection: close\r\n\r\nhello
+		client wait closed
+	`)
+}
+
+// An answer that breaks off is never completed: no last chunk, or less than its length, and a close.
+func TestGatewayCutsAnswersThatBreakOff(t *testing.T) {
+	log := through(t, gatewayConf(), `
+		client1 send $g-get
+		app1 expect GET
+		app1 send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n
+		client1 expect hello\r\n
+		app1 close
+		client1 wait closed
+		client1 wait nothing
+		client2 send $g-get
+		app2 expect GET
+		app2 send HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello
+		client2 expect hello
+		app2 wait 21s
+		client2 wait closed
+		app2 wait closed
+		client3 send $g-get
+		app3 expect GET
+		app3 send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n
+		client3 wait closed
+	`)
+	if n := strings.Count(log, `"code":"answer-cut","waiting":true,"requests":1,"up":0`); n != 3 {
+		t.Errorf("%d answers cut:\n%s", n, log)
+	}
+	if !strings.Contains(log, `"code":"server-stalled"`) {
+		t.Errorf("no server blamed for its silence:\n%s", log)
+	}
+}
+
+func TestGatewayStreamsUploads(t *testing.T) {
+	through(t, gatewayConf(), `
+		client send $g-postContent-Length: 2048\r\n\r\n$g-long
+		app expect POST /withdraw HTTP/1.1\r\nHost: h\r\n
+		app expect Content-Length: 2048\r\n\r\n$g-long
+		app wait nothing
+		client send $g-long
+		client send $g-get
+		app expect $g-long
+		app wait nothing
+		app send $g-ok
+		client expect 200 OK
+		client expect money
+		app wait 10ms
+		app expect GET /a/b
+		app send $g-ok
+		client expect money
+		client wait 10ms
+		client send $g-put$g-chunked5;x=y\r\nhello\r\n
+		app expect Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n
+		client send 400\r\n$g-long\r\n0\r\nX-Sum: 1\r\nHost: evil\r\n\r\n
+		app expect 400\r\n$g-long\r\n0\r\nX-Sum: 1\r\n\r\n
+		app wait nothing
+		app send $g-ok
+		client expect money
+		client wait 10ms
+		client send $g-putContent-Length: 0\r\n\r\n
+		app expect Content-Length: 0\r\n\r\n
+		app send $g-ok
+		client expect money
+	`)
+}
+
+// Whatever stops a withdrawal's body on its way, it ends as a failed answer, the server sees it broken off,
+// and it is never sent again.
+func TestGatewayNeverResendsAWithdrawal(t *testing.T) {
+	for name, stop := range map[string]string{
+		"reset by the server":   "app1 close\nclient expect 502",
+		"close by the client":   "client close\napp1 wait closed",
+		"silence of the client": "client wait 21s\nclient expect 408\napp1 wait closed",
+		"bad chunk":             "client send zz\\r\\n\nclient expect 400\napp1 wait closed",
+		"silence of the server": `client send 0\r\n\r\n
+			app1 expect 0\r\n\r\n
+			client wait 4.1s
+			client expect 502`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			through(t, gatewayConf(), `
+				client send $g-post$g-chunked400\r\n$g-long\r\n
+				app1 expect $g-long\r\n
+				`+stop+`
+				app2 wait nothing
+			`)
+		})
+	}
+}
+
+// What is held of a safe request's body is sent again, from its beginning. Good answers earn the gate what it
+// spends on further attempts.
+func TestGatewaySendsAgainWhatItHolds(t *testing.T) {
+	o := gatewayConf()
+	o.Gateway.Plans[0].Burst = 100
+	good := strings.Repeat(
+		"client send $g-get\napp1 expect GET\napp1 send $g-ok\nclient expect money\nclient wait 10ms\n",
+		40,
+	)
+	through(t, o, good+`
+		client send $g-putContent-Length: 2048\r\n\r\n$g-long
+		app1 expect $g-long
+		app1 close
+		app2 expect Content-Length: 2048\r\n\r\n$g-long
+		client send $g-long
+		app2 expect $g-long
+		app2 close
+		app3 expect Content-Length: 2048\r\n\r\n$g-long$g-long
+		app3 send $g-ok
+		client expect money
+		client wait 10ms
+		client send $g-putContent-Length: 3072\r\n\r\n$g-long$g-long$g-long
+		app3 expect $g-long$g-long$g-long
+		app3 close
+		client expect 502
+		client wait closed
+		app4 wait nothing
+	`)
+}
+
+// An answer that comes before the end of its request is passed on, and the rest is read and dropped.
+func TestGatewayPassesEarlyAnswersOn(t *testing.T) {
+	for name, end := range map[string]string{"and closes": "\napp close", "and reads no more": ""} {
+		t.Run(name, func(t *testing.T) {
+			through(t, gatewayConf(), `
+				client send $g-postContent-Length: 60000\r\n\r\n$g-long
+				app expect $g-long
+				app send HTTP/1.1 413 Too Much\r\nContent-Length: 2\r\n\r\nno`+end+`
+				client expect 413 Too Much\r\n
+				client expect Connection: close\r\n\r\nno
+				app wait closed
+				client wait closed
+			`)
+		})
+	}
+}
+
+func TestGatewayAsksForABodyOnlyWhenAnAttemptTakesIt(t *testing.T) {
+	o := gatewayConf()
+	o.Gateway.Plans[0].Burst = 1
+	through(t, o, `
+		client1 send $g-postExpect: 100-continue\r\nContent-Length: 5\r\n\r\n
+		app expect Content-Length: 5\r\n\r\n
+		client1 expect HTTP/1.1 100 Continue\r\n\r\n
+		client1 send hello
+		app expect hello
+		app send $g-ok
+		client1 expect money
+		client2 send $g-postExpect: 100-continue\r\nContent-Length: 5\r\n\r\n
+		client2 expect HTTP/1.1 429 Too Many Requests\r\n
+		client2 expect Retry-After:
+		client2 expect Connection: close\r\n
+		client2 wait closed
+		client3 send $g-postExpect: tea\r\nContent-Length: 5\r\n\r\nhello
+		client3 expect 417
+	`)
+}
+
+// When the memory for long bodies is spent, more are refused before any attempt, and short requests go on.
+func TestGatewayRefusesLongBodiesBeyondItsBudget(t *testing.T) {
+	o := gatewayConf()
+	o.Gateway.Transfers.Bytes = 2 << 10 // one transfer
+	log := through(t, o, `
+		client1 send $g-postContent-Length: 2048\r\n\r\n$g-long
+		app1 expect $g-long
+		client2 send $g-postContent-Length: 2048\r\n\r\n
+		client2 expect HTTP/1.1 503
+		client2 expect Retry-After: 1\r\n
+		client2 wait closed
+		client3 send $g-get
+		app2 expect GET
+		app2 send $g-ok
+		client3 expect money
+		client1 send $g-long
+		app1 expect $g-long
+		app1 send $g-ok
+		client1 expect money
+		client4 send $g-postContent-Length: 2048\r\n\r\n$g-long
+		app2 expect $g-long
+	`)
+	if !strings.Contains(log, `"code":"transfer-refused"`) {
+		t.Errorf("not logged:\n%s", log)
+	}
+}
+
+// A client that leaves frees the server's connection, whatever it is waiting for.
+func TestGatewayFreesServersOfClientsThatLeave(t *testing.T) {
+	through(t, gatewayConf(), `
+		client1 send $g-get
+		app1 expect GET
+		app1 send HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\nhello
+		client1 expect hello
+		client1 close
+		app1 wait closed
+		client2 send $g-get
+		app2 expect GET
+		client2 close
+		app2 wait closed
+	`)
+}
+
+func TestGatewayRefusesWhatCanBeReadInTwoWays(t *testing.T) {
+	for request, status := range map[string]string{
+		`GET /a/../b HTTP/1.1\r\nHost: h\r\n\r\n`:                                                "400",
+		`GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n`:                                          "400",
+		`GET /a HTTP/1.1\r\n\r\n`:                                                                "400",
+		`POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n`: "400",
+		`POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n`:          "400",
+		`GET /a HTTP/1.1\r\nHost: h\r\nX: 1\r\n 2\r\n\r\n`:                                       "400",
+		`GET /a HTTP/1.1\nHost: h\n\n`:                                                           "400",
+		`POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n`:                "400",
+		`GET /withdraw/.%2e/x HTTP/1.1\r\nHost: h\r\n$g-who\r\n`:                                 "400",
+		`CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n`:                                                "501",
+		`GET /a HTTP/1.1\r\nHost: h\r\n\r\n`:                                                     "400",
+		`GET /a HTTP/1.1\r\nHost: h\r\n$g-who$g-who\r\n`:                                         "400",
+	} {
+		through(t, gatewayConf(), "client send "+request+"\nclient expect HTTP/1.1 "+status+"\napp wait nothing")
+	}
+}
+
+// Transfers go on for a while after the order to stop, then are cut; new ones are refused.
+func TestGatewayDrains(t *testing.T) {
+	log := through(t, gatewayConf(), `
+		client1 send $g-postContent-Length: 2048\r\n\r\n$g-long
+		app1 expect $g-long
+		client2 send $g-get
+		app2 expect GET
+		app2 send HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\nhello
+		client2 expect hello
+		client2 wait 1s
+		client3 send $g-postContent-Length: 2048\r\n\r\n
+		client3 expect 503
+		client1 send $g-long
+		app1 expect $g-long
+		app1 send $g-ok
+		client1 expect Connection: close\r\n\r\nmoney
+		client1 wait closed
+		client2 wait closed
+		client2 wait nothing
+		app2 wait closed
+	`, func(p *program) { time.AfterFunc(900*time.Millisecond, func() { go p.drain() }) })
+	if strings.Count(log, `"code":"drain-cut"`) != 1 || !strings.Contains(log, `"down":`) {
+		t.Errorf("what was cut is not in the log:\n%s", log)
+	}
+}
--- a/cmd/dunespoke/questions.go
+++ b/cmd/dunespoke/questions.go
@@ -14,6 +14,7 @@
 	"dunespoke/bearer"
 	"dunespoke/choice"
 	"dunespoke/core"
+	"dunespoke/front/gateway"
 	"dunespoke/front/introspect"
 	"dunespoke/front/platform"
 	"dunespoke/internal/config"
@@ -179,6 +180,20 @@
 	return b.Check(r, in, then)
 }
 
+// checks are the checks of tokens for the gateway.
+func (q *questions) checks() gateway.Guard { return (*bearerGuard)(q) }
+
+// Require checks a token by a route's own requirement.
+func (g *bearerGuard) Require(r *http1.Request, in core.Request, required bearer.Requirement,
+	then func(bearer.Claims, *http1.Answer)) (leave func()) {
+	b := g.bearer.Load()
+	if b == nil { // a reload has switched checks off: nothing that needs a token gets through
+		then(bearer.Claims{}, http1.Plain(503, "tokens can't be checked now"))
+		return nil
+	}
+	return b.Require(r, in, required, then)
+}
+
 // build makes the parts of a configuration. What it has in common with the one in use is used on: desks with
 // what they know, connections, and quotas. Nothing is changed by it.
 func (q *questions) build(n *config.Introspection) (introspect.Options, []*issuer, error) {
--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -67,7 +67,7 @@
 		operator = *o
 	}
 	var conf *config.Platform
-	if getenv("LB_CONFIG") != "" || operator.Introspection.Listen == "" {
+	if getenv("LB_CONFIG") != "" || operator.Introspection.Listen == "" && !operator.Gateway.On() {
 		var err error
 		if conf, err = config.ReadPlatform(getenv); err != nil {
 			return err
@@ -148,7 +148,13 @@
 		limits = conf.Limits
 	}
 	asks := operator.Introspection.On()
-	share := bound(limits, conf != nil, asks)
+	fronts := 0
+	for _, on := range []bool{conf != nil, asks, operator.Gateway.On()} {
+		if on {
+			fronts++
+		}
+	}
+	share := bound(limits, max(1, fronts))
 	var guard platform.Guard
 	if asks {
 		q, err := p.startQuestions(&operator.Introspection, share)
@@ -165,6 +171,11 @@
 			return err
 		}
 	}
+	if operator.Gateway.On() {
+		if err := p.gateway(&operator.Gateway, share); err != nil {
+			return err
+		}
+	}
 	return p.agent(operator.Agent)
 }
 
@@ -226,19 +237,31 @@
 
 // serve takes a front's clients, by TLS if there is a side for it.
 func (p *program) serve(addr string, h accept.Handler, clients int, side *secure.Side) error {
+	l, err := p.listener(addr, side)
+	if err != nil {
+		return err
+	}
+	p.take(accept.New(l, h, clients, p.log), addr, clients, side)
+	return nil
+}
+
+func (p *program) listener(addr string, side *secure.Side) (net.Listener, error) {
 	l, err := p.listen("tcp", addr)
 	if err != nil {
-		return fmt.Errorf("listening for clients: %w", err)
+		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
 	if side != nil {
 		l = side.Listener(l)
 	}
-	s := accept.New(l, h, clients, p.log)
+	return l, nil
+}
+
+// take starts a server of clients.
+func (p *program) take(s *accept.Server, addr string, clients int, side *secure.Side) {
 	p.servers = append(p.servers, s)
 	go func() { p.failed <- s.Serve() }()
 	p.log.Info().Str("code", "started").Str("listen", addr).Bool("tls", side != nil).Int("clients", clients).
 		Msg("serving")
-	return nil
 }
 
 // agent starts what balancers ask.
@@ -314,7 +337,7 @@
 type sockets struct{ clients, servers int }
 
 // bound keeps the program within its limits, and splits the sockets between the fronts.
-func bound(l config.Limits, platform, questions bool) sockets {
+func bound(l config.Limits, fronts int) sockets {
 	if l.MemoryMB > 0 {
 		debug.SetMemoryLimit(l.MemoryMB << 20 * 3 / 4)
 		debug.SetGCPercent(400) // collect seldom while far under the limit
@@ -326,9 +349,7 @@
 	if l.Sockets > 0 {
 		free = l.Sockets - setAside
 	}
-	if platform && questions {
-		free /= 2
-	}
+	free /= fronts
 	servers := max(1, int(serversPart*float64(free)))
 	return sockets{max(1, free-servers), servers}
 }
--- a/core/core.go
+++ b/core/core.go
@@ -64,6 +64,8 @@
 	Body  any       // with choice.OK: for the front
 	Units float64   // true units of the request; 0: not told
 	Load  []float64 // the server's load report, if one came along
+	Final bool      // unless OK: no further attempt can be made, since what it would need is gone
+	Drop  func()    // with choice.OK: called if nobody wants the body, on the core's goroutine; may be nil
 }
 
 // Attempt is one send of a request to a server.
--- a/core/request.go
+++ b/core/request.go
@@ -76,14 +76,20 @@
 
 // end takes the end of an attempt, from its upstream or from the core itself.
 func (c *Core) end(at *attempt, res Result) {
+	r := at.r
+	if (at.ended || r.done) && res.Code == choice.OK && res.Drop != nil {
+		res.Drop()
+	}
 	if at.ended {
 		return
 	}
 	at.ended = true
-	r := at.r
 	r.out--
-	if res.Code == choice.OK {
+	switch {
+	case res.Code == choice.OK:
 		c.answer(r, Answer{Kind: Served, Body: res.Body})
+	case res.Final:
+		c.answer(r, Answer{Kind: Failed})
 	}
 	ended := r.done
 	c.forget(r)
--- a/front/introspect/bearer.go
+++ b/front/introspect/bearer.go
@@ -29,20 +29,26 @@
 // for it are attempts of the check alone. The request has not been sent on yet, so that any answer from here
 // is one to a request that never ran.
 func (b *Bearer) Check(r *http1.Request, in core.Request, then func(*http1.Answer)) (leave func()) {
+	required, named := b.Classes[in.Class]
+	if !named {
+		required = b.Others
+	}
+	return b.Require(r, in, required, func(_ bearer.Claims, a *http1.Answer) { then(a) })
+}
+
+// Require does as Check does, by a requirement of its own, and tells what is known of the token.
+func (b *Bearer) Require(r *http1.Request, in core.Request, required bearer.Requirement,
+	then func(bearer.Claims, *http1.Answer)) (leave func()) {
 	s := b.Front.now.Load()
 	shown, refusal := bearer.Read(r.Request, b.Base)
 	if refusal != nil {
-		then(b.refused(in.Class, refusal))
+		then(bearer.Claims{}, b.refused(in.Class, refusal))
 		return nil
 	}
-	required, named := b.Classes[in.Class]
-	if !named {
-		required = b.Others
-	}
 	return s.ask(core.Request{Plan: b.Plan, Customer: in.Customer | customerBit,
 		Spread: in.Spread * len(s.Issuers), Deadline: in.Deadline}, shown.Token, "access_token", func(v verdict) {
 		if v.kind != core.Served {
-			then(s.word(v))
+			then(bearer.Claims{}, s.word(v))
 			return
 		}
 		now := s.clock()
@@ -52,10 +58,10 @@
 		}
 		claims.Expires = 0 // v.active has read it, by the issuer's clock
 		if refusal := required.Check(now, claims, shown, b.Proofs); refusal != nil {
-			then(b.refused(in.Class, refusal))
+			then(bearer.Claims{}, b.refused(in.Class, refusal))
 			return
 		}
-		then(nil)
+		then(claims, nil)
 	})
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -16,6 +16,7 @@
 type Operator struct {
 	Introspection Introspection `toml:"introspection"`
 	Agent         Agent         `toml:"agent"`
+	Gateway       Gateway       `toml:"gateway"`
 }
 
 // Agent sets up the agent check and HTTP health for balancers. An empty address leaves either off.
@@ -68,6 +69,7 @@
 	n := &o.Introspection
 	n.Path, n.Gateways, n.Share = "/introspect", 1, true
 	n.Patience, n.Aim = Duration(3*time.Second), Duration(500*time.Millisecond)
+	o.Gateway.defaults()
 	meta, err := toml.DecodeFile(path, o)
 	if err != nil {
 		return nil, &Faults{path, []error{err}}
@@ -78,6 +80,7 @@
 	}
 	n.one(meta.IsDefined("introspection", "service"))
 	n.check(f, getenv)
+	o.Gateway.check(f, n.Bearer.Plan != "")
 	if len(f.all) > 0 {
 		return nil, &Faults{path, f.all}
 	}
--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -231,10 +231,10 @@
 }
 
 // framing reads from the lines of a head how a body is framed, and its length where it has one. It guards
-// against messages that two readers could take for different ones: a length and chunks, two lengths, lines
-// carried on, odd line ends.
+// against messages that two readers could take for different ones: a length and chunks, two lengths, two
+// hosts, lines carried on, odd line ends.
 func framing(lines []byte, response bool) (form, int64, error) {
-	length, chunked := int64(-1), false
+	length, chunked, host := int64(-1), false, false
 	first, lines, _ := bytes.Cut(lines, []byte("\r\n"))
 	if bytes.IndexByte(first, '\n') >= 0 {
 		return 0, 0, bad(400, "bare-line-feed")
@@ -257,6 +257,11 @@
 				return 0, 0, bad(400, "content-length")
 			}
 			length = n
+		case !response && bytes.EqualFold(name, []byte("Host")):
+			if host {
+				return 0, 0, bad(400, "two-hosts")
+			}
+			host = true
 		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 			if chunked || !bytes.EqualFold(bytes.Trim(value, " \t"), []byte("chunked")) {
 				return 0, 0, bad(400, "transfer-encoding")
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -56,6 +57,29 @@
 	return &Request{Request: r, Content: content}, nil
 }
 
+// RequestHead parses a request without its body.
+func (p *Parser) RequestHead(head []byte) (*http.Request, error) {
+	r, err := http.ReadRequest(p.reader(head))
+	switch {
+	case err != nil:
+		return nil, bad(400, "malformed")
+	case r.ProtoMajor != 1:
+		return nil, bad(505, "version")
+	}
+	r.Body = nil
+	return r, nil
+}
+
+// ResponseHead parses a response without its body. The method is that of the request.
+func (p *Parser) ResponseHead(head []byte, method string) (*http.Response, error) {
+	r, err := http.ReadResponse(p.reader(head), &http.Request{Method: method})
+	if err != nil {
+		return nil, bad(502, "malformed")
+	}
+	r.Body, r.Request = nil, nil
+	return r, nil
+}
+
 // Response parses a whole response to a request that was not HEAD.
 func (p *Parser) Response(msg []byte) (*Response, error) {
 	r, err := http.ReadResponse(p.reader(msg), nil)
@@ -131,6 +155,24 @@
 	return append(buf, "\r\n"...)
 }
 
+// AppendHeaders writes header lines behind buf, in the order of their names, but for the framing of a body.
+func AppendHeaders(buf []byte, h http.Header) []byte {
+	var room [24]string
+	names := room[:0]
+	for name := range h {
+		if name != "Content-Length" && name != "Transfer-Encoding" {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		for _, value := range h[name] {
+			buf = AppendHeader(buf, name, value)
+		}
+	}
+	return buf
+}
+
 // Decimal reads a number of digits, perhaps with a point between them. What else strconv takes (signs,
 // exponents, infinities, hex digits, underscores) no client has cause to send.
 func Decimal(text string) (n float64, ok bool) {
--- a/internal/http1/pieces.go
+++ b/internal/http1/pieces.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"slices"
+	"strings"
 )
 
 // Kind is what Pieces has found.
@@ -13,7 +15,7 @@
 	Interim             // the head of a 1xx response, which goes before the true one
 	Head                // the head, with the empty line at its end
 	Data                // some of the body, without its framing
-	Trailer             // the lines after a chunked body, without the empty one at their end
+	Trailer             // the lines after a chunked body that may be there, without the empty one at their end
 	End                 // the message is whole
 )
 
@@ -68,6 +70,27 @@
 	p.buf = append(p.buf, b...)
 }
 
+// Plain tells how many of the bytes that come next, at most so many, are all of the body, so that they need
+// no taking apart. Who passes them on without feeding them tells so by Passed.
+func (p *Pieces) Plain(most int) int {
+	switch {
+	case p.err != nil || p.state != pieceBody || p.Buffered() > 0:
+		return 0
+	case p.form == formUntilEnd:
+		return most
+	case p.form == formLength:
+		return int(min(p.left, int64(most)))
+	}
+	return 0
+}
+
+// Passed tells that so many plain bytes were not fed.
+func (p *Pieces) Passed(n int) {
+	if p.form == formLength {
+		p.left -= int64(n)
+	}
+}
+
 // Buffered returns how many bytes were fed and not handed out.
 func (p *Pieces) Buffered() int { return len(p.buf) - p.used }
 
@@ -117,6 +140,7 @@
 		return p.body()
 	case pieceTrailer:
 		p.state = pieceEnd
+		p.trailer = trailers(p.trailer)
 		if len(p.trailer) > 0 {
 			return Trailer, p.trailer, nil
 		}
@@ -129,6 +153,9 @@
 func (p *Pieces) reset() {
 	p.state, p.scanned, p.left, p.noBody, p.interims = pieceHead, 0, 0, false, 0
 	p.chunks = Chunks{line: p.chunks.line[:0], keep: p.most}
+	if p.Buffered() == 0 && cap(p.buf) > keepMost { // one long body must not hold its memory for good
+		p.buf, p.used = nil, 0
+	}
 }
 
 func (p *Pieces) findHead() (Kind, []byte, error) {
@@ -213,3 +240,37 @@
 	}
 	return Data, piece, nil
 }
+
+// barred are the names of lines that a trailer must not hold: those that frame a message, route it, or hold
+// for one connection alone (RFC 9110, 6.5.1).
+var barred = []string{
+	"content-length",
+	"transfer-encoding",
+	"host",
+	"connection",
+	"keep-alive",
+	"te",
+	"trailer",
+	"upgrade",
+	"expect",
+	"authorization",
+	"proxy-authorization",
+	"proxy-authenticate",
+	"proxy-connection",
+	"set-cookie",
+	"content-type",
+	"content-encoding",
+	"content-range",
+}
+
+// trailers drops the lines that must not be in a trailer, in place.
+func trailers(lines []byte) []byte {
+	kept := lines[:0]
+	for line := range bytes.Lines(lines) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if !slices.ContainsFunc(barred, func(b string) bool { return strings.EqualFold(b, string(name)) }) {
+			kept = append(kept, line...)
+		}
+	}
+	return kept
+}
--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -25,17 +25,28 @@
 	Serve(r *http1.Request, respond func(*http1.Answer)) (leave func())
 }
 
-// Server takes connections for a Handler.
+// client is a connection that a Server has taken.
+type client interface {
+	read()
+	usage() usage
+	makeRoom() bool
+	closeIdle(code string)
+	cut(code string)
+}
+
+// Server takes connections for a Handler, or for a Streamer.
 type Server struct {
 	listener net.Listener
 	handler  Handler
+	streams  *Streams // nil: messages are held whole
+	streamer Streamer // beside streams
 	log      zerolog.Logger
 	slots    chan struct{} // one for each connection that may be open
 	draining atomic.Bool
 	closed   atomic.Bool
 
 	mu    sync.Mutex
-	conns map[*conn]struct{}
+	conns map[client]struct{}
 	empty chan struct{} // closed when the last connection has gone, after the listener
 	once  sync.Once
 }
@@ -65,7 +76,7 @@
 // New returns a server that takes connections from a listener, and holds at most the given number of them.
 func New(l net.Listener, h Handler, connections int, log zerolog.Logger) *Server {
 	return &Server{listener: l, handler: h, log: log, slots: make(chan struct{}, max(1, connections)),
-		conns: map[*conn]struct{}{}, empty: make(chan struct{})}
+		conns: map[client]struct{}{}, empty: make(chan struct{})}
 }
 
 // Serve takes connections until Drain has closed the listener.
@@ -85,14 +96,7 @@
 			continue
 		}
 		s.claim()
-		now := time.Now()
-		c := &conn{
-			s:      s,
-			nc:     nc,
-			frames: http1.NewRequests(http1.DefaultLimits),
-			since:  now,
-			used:   now,
-		}
+		c := s.client(nc)
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
@@ -103,6 +107,14 @@
 	}
 }
 
+func (s *Server) client(nc net.Conn) client {
+	now := time.Now()
+	if s.streams != nil {
+		return newStream(s, nc, now)
+	}
+	return &conn{s: s, nc: nc, frames: http1.NewRequests(http1.DefaultLimits), since: now, used: now}
+}
+
 // claim takes a slot for one more connection. At the limit another makes room for it; if all are being
 // answered, clients wait. Guards against connections that nobody uses keeping out requests, which count as
 // taken from the moment that the machine, not this program, has accepted them.
@@ -131,7 +143,7 @@
 }
 
 // leastUsed returns the connection that should make room first.
-func (s *Server) leastUsed() (least *conn, use usage) {
+func (s *Server) leastUsed() (least client, use usage) {
 	for _, c := range s.all() {
 		u := c.usage()
 		if least == nil || u.rank < use.rank || u.rank == use.rank && u.since.Before(use.since) {
@@ -142,10 +154,10 @@
 }
 
 // all returns the connections there are.
-func (s *Server) all() []*conn {
+func (s *Server) all() []client {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := make([]*conn, 0, len(s.conns))
+	all := make([]client, 0, len(s.conns))
 	for c := range s.conns {
 		all = append(all, c)
 	}
@@ -164,6 +176,14 @@
 	for _, c := range s.all() {
 		c.closeIdle("drained")
 	}
+	if s.streams != nil && s.streams.Drain > 0 {
+		end := time.AfterFunc(s.streams.Drain, func() {
+			for _, c := range s.all() {
+				c.cut("drain-cut")
+			}
+		})
+		defer end.Stop()
+	}
 	<-s.empty
 }
 
@@ -178,7 +198,7 @@
 // Free is the part of the connections that is free, in percent.
 func (s *Server) Free() int { return 100 - 100*len(s.slots)/cap(s.slots) }
 
-func (s *Server) gone(c *conn) {
+func (s *Server) gone(c client) {
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -294,7 +314,14 @@
 		return "silent"
 	case isTimeout(err):
 		return "idle"
-	case unsafeYet(c.nc):
+	}
+	return left(c.nc, err)
+}
+
+// left says how a client has gone.
+func left(nc net.Conn, err error) string {
+	switch {
+	case unsafeYet(nc):
 		return "tls-failed"
 	case errors.Is(err, errAhead):
 		return "too-much-ahead"
@@ -382,8 +409,7 @@
 // lingers ends the sending side of a connection whose client may still be sending, and reports whether what
 // it sends is to be read on for a while. The lock is held.
 func (c *conn) lingers() bool {
-	w, ok := c.nc.(interface{ CloseWrite() error })
-	if !ok || !c.unread && c.spilt == 0 || w.CloseWrite() != nil {
+	if !c.unread && c.spilt == 0 || !closeWrite(c.nc) {
 		return false
 	}
 	c.linger = time.Now().Add(lingerWait)
@@ -391,6 +417,11 @@
 	return true
 }
 
+func closeWrite(nc net.Conn) bool {
+	w, ok := nc.(interface{ CloseWrite() error })
+	return ok && w.CloseWrite() == nil
+}
+
 // usage is what a connection is used for, as far as that says whether it should make room for others.
 type usage struct {
 	rank  int // those of the lowest go first
@@ -449,6 +480,13 @@
 	}
 }
 
+// cut ends the connection, whatever it is used for.
+func (c *conn) cut(code string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end(code)
+}
+
 // end closes the connection and leaves its log line. The lock is held.
 func (c *conn) end(code string) {
 	if c.ended {
--- /dev/null
+++ b/internal/net/accept/stream.go
@@ -0,0 +1,682 @@
+package accept
+
+import (
+	"bytes"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dunespoke/internal/flow"
+	"dunespoke/internal/http1"
+	"dunespoke/internal/net/transfer"
+)
+
+// Streamer answers requests whose bodies may be long.
+type Streamer interface {
+	// Stream takes a request, whose body may be yet to come. It must not block, and it must see to it that
+	// one of Exchange's Answer and Pass is called once; unless the client leaves before, which it learns by
+	// the function it returns (nil, if that makes no difference).
+	Stream(*Exchange) (leave func())
+}
+
+// Streams sets up a Server for bodies that are passed on as they come.
+type Streams struct {
+	Head  int           // bytes of a request's head, at most
+	Short int           // bytes of a body that is read whole first, if it tells its length
+	Drain time.Duration // for which exchanges may go on once the server drains; 0: any time
+}
+
+// NewStreams returns a server for a Streamer, as New does for a Handler.
+func NewStreams(l net.Listener, h Streamer, connections int, o Streams,
+	log zerolog.Logger) *Server {
+	s := New(l, nil, connections, log)
+	s.streams, s.streamer = &o, h
+	return s
+}
+
+// Exchange is one request and its answer.
+type Exchange struct {
+	*http.Request // without its body
+	Peer          net.Addr
+	Upload        *transfer.Upload
+	Long          bool // the body is yet to come
+
+	c      *stream
+	terms  *transfer.Terms
+	room   *flow.Transfer
+	clock  func() time.Duration
+	expect bool // 100 Continue
+	leave  func()
+	whole  bool          // the request has come to its end
+	answer *http1.Answer // instead of one that says that there is none; nil: as given
+	reply  *transfer.Reply
+	down   *transfer.Side
+	form   bodyForm
+	out    []byte
+	told   bool         // the head is on its way
+	up     atomic.Int64 // bytes of the body
+}
+
+// bodyForm is how a body is framed for the client.
+type bodyForm int
+
+const (
+	formPlain bodyForm = iota // by its length, by the connection's end, or none
+	formChunks
+)
+
+// Hold holds the exchange to terms, and, where the room is not nil, moves its bodies by that. Up to replay
+// bytes of a body to come are held to be sent again. It is for the Streamer to call, before it returns.
+func (x *Exchange) Hold(t *transfer.Terms, room *flow.Transfer, replay int, clock func() time.Duration) {
+	x.terms, x.room, x.clock = t, room, clock
+	if x.Long {
+		x.Upload = transfer.Coming(x.Upload.Length(), room, replay)
+	}
+}
+
+// Answer gives a whole answer. It does not block.
+func (x *Exchange) Answer(a *http1.Answer) { go x.c.respond(x, a) }
+
+// Pass gives an answer that is passed on as it comes. It does not block.
+func (x *Exchange) Pass(r *transfer.Reply) {
+	x.c.mu.Lock()
+	defer x.c.mu.Unlock()
+	if x.c.ended || x.c.x != x {
+		r.Drop()
+		return
+	}
+	x.reply = r
+	r.To(x)
+}
+
+// stream is one client's connection, whose requests and answers are passed on as they come. One goroutine
+// reads, and writes what it reads of a body to the server; each answer's own writes to the client.
+type stream struct {
+	s      *Server
+	nc     net.Conn
+	since  time.Time
+	pieces *http1.Pieces // the reader's
+	parser http1.Parser
+	buf    []byte
+
+	mu       sync.Mutex
+	changed  sync.Cond
+	x        *Exchange // being answered
+	last     bool      // nothing more is read after the answer at hand
+	ended    bool
+	count    int
+	used     time.Time // when the last answer was out, or the connection taken
+	begun    time.Time // when the request that is coming in began; zero if none is
+	linger   time.Time // until when what comes is dropped; zero before the last answer is out
+	up, down int64     // bytes of bodies
+	out      []byte
+}
+
+func newStream(s *Server, nc net.Conn, now time.Time) *stream {
+	c := &stream{s: s, nc: nc, since: now, used: now, pieces: http1.RequestPieces(s.streams.Head),
+		buf: make([]byte, 4<<10)}
+	c.changed.L = &c.mu
+	return c
+}
+
+func (c *stream) read() {
+	defer c.s.gone(c)
+	for {
+		kind, piece, err := c.pieces.Next()
+		switch {
+		case err != nil:
+			c.refuse(err)
+			return
+		case kind == http1.More:
+			if !c.fill() {
+				return
+			}
+		case kind == http1.Head:
+			r, err := c.parser.RequestHead(piece)
+			if err != nil {
+				c.refuse(err)
+				return
+			}
+			if !c.request(r) {
+				return
+			}
+		}
+	}
+}
+
+// fill reads some of a request that is to come whole, or of a head. It reports whether to go on.
+func (c *stream) fill() bool {
+	c.nc.SetReadDeadline(c.deadline())
+	n, err := c.nc.Read(c.buf)
+	if n > 0 {
+		c.pieces.Feed(c.buf[:n])
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.begun.IsZero() { // not anew with each byte, or a slow client would never end
+			c.begun = time.Now()
+		}
+		return !c.ended
+	}
+	if isTimeout(err) && c.pieces.Begun() {
+		c.refuse(&http1.Error{Status: 408, Reason: "request-too-slow"})
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case isTimeout(err) && c.count == 0:
+		c.end("silent")
+	case isTimeout(err):
+		c.end("idle")
+	default:
+		c.end(left(c.nc, err))
+	}
+	return false
+}
+
+// deadline is when a read of a request is given up.
+func (c *stream) deadline() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.count == 0:
+		return c.since.Add(requestWait)
+	case c.begun.IsZero():
+		return time.Now().Add(idleWait)
+	}
+	return c.begun.Add(requestWait)
+}
+
+// request takes a request from its head on until it is answered. It reports whether to read on.
+func (c *stream) request(r *http.Request) bool {
+	x := &Exchange{Request: r, Peer: c.nc.RemoteAddr(), c: c, terms: &transfer.Terms{}}
+	if t, ok := c.nc.(*tls.Conn); ok {
+		state := t.ConnectionState()
+		r.TLS = &state
+	}
+	x.expect = r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+	length := c.pieces.Length()
+	x.Long = length < 0 || length > int64(c.s.streams.Short) || x.expect && length != 0
+	if x.Long {
+		x.Upload = transfer.Coming(length, nil, 0)
+	} else {
+		body, ok := c.collect(int(length))
+		if !ok {
+			return false
+		}
+		x.Upload, x.whole = transfer.Whole(body), true
+	}
+	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return false
+	}
+	c.x, c.begun = x, time.Time{}
+	c.count++
+	c.last = r.Close || !r.ProtoAtLeast(1, 1)
+	c.mu.Unlock()
+	leave := c.s.streamer.Stream(x)
+	c.mu.Lock()
+	x.leave = leave
+	gone := c.ended
+	c.mu.Unlock()
+	if gone && leave != nil {
+		leave()
+	}
+	if x.Long && !c.upload(x) {
+		return false
+	}
+	return c.await(x)
+}
+
+// collect reads a short body.
+func (c *stream) collect(length int) ([]byte, bool) {
+	var body []byte
+	for {
+		kind, piece, err := c.pieces.Next()
+		switch {
+		case err != nil:
+			c.refuse(err)
+			return nil, false
+		case kind == http1.Data:
+			if body == nil {
+				body = make([]byte, 0, length)
+			}
+			body = append(body, piece...)
+		case kind == http1.End:
+			return body, true
+		case kind == http1.More && !c.fill():
+			return nil, false
+		}
+	}
+}
+
+// upload passes a body on, as it comes and as it is taken. It reports whether the connection is still there.
+func (c *stream) upload(x *Exchange) bool {
+	if x.Upload.Wait() != nil {
+		return true // nobody takes it
+	}
+	if x.expect {
+		c.proceed(x)
+	}
+	side := transfer.NewSide(c.nc, x.terms.ClientUp)
+	c.nc.SetReadDeadline(time.Time{})
+	window := transfer.NewWindow(x.room, flow.Up, c.buf)
+	var trailer []byte
+	for {
+		kind, piece, err := c.pieces.Next()
+		if err != nil {
+			c.spoil(x, err)
+			return true
+		}
+		switch kind {
+		case http1.Data:
+			x.up.Add(int64(len(piece)))
+			if x.Upload.Write(piece) != nil {
+				return true
+			}
+			continue
+		case http1.Trailer:
+			trailer = bytes.Clone(piece)
+			continue
+		case http1.End:
+			c.mu.Lock()
+			x.whole = true
+			c.mu.Unlock()
+			x.Upload.End(trailer)
+			return true
+		}
+		taken := window.Take()
+		into, plain := taken, c.pieces.Plain(len(taken))
+		if plain > 0 { // and not the request that may come behind
+			into = taken[:plain]
+		}
+		n, err := side.Read(into)
+		var over error
+		switch {
+		case n > 0 && plain > 0:
+			c.pieces.Passed(n)
+			x.up.Add(int64(n))
+			over = x.Upload.Write(into[:n])
+		case n > 0:
+			c.pieces.Feed(into[:n])
+		}
+		window.Done(taken, n)
+		var slow *transfer.SlowError
+		switch {
+		case over != nil:
+			return true
+		case err == nil || n > 0:
+		case errors.As(err, &slow):
+			c.spoil(x, &http1.Error{Status: 408, Reason: "upload-" + slow.Error()})
+			return true
+		default:
+			x.Upload.Break()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.end(left(c.nc, err))
+			return false
+		}
+	}
+}
+
+// spoil ends a request in whose body something is wrong. What has left of it ends at the server as broken
+// off.
+func (c *stream) spoil(x *Exchange, err error) {
+	c.mu.Lock()
+	x.answer, c.last = http1.Problem(err), true
+	c.mu.Unlock()
+	x.Upload.Break()
+}
+
+// proceed tells a client that asked whether to send its body.
+func (c *stream) proceed(x *Exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || c.x != x || x.told {
+		return
+	}
+	c.nc.SetWriteDeadline(time.Now().Add(answerWait))
+	c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+}
+
+// await reads on until a request is answered, for that is how it learns that the client has gone. It reports
+// whether to read the next one.
+func (c *stream) await(x *Exchange) bool {
+	c.mu.Lock()
+	if c.x == x {
+		c.nc.SetReadDeadline(time.Time{})
+	}
+	for {
+		for c.x == x && !c.ended && c.pieces.Buffered() > 0 { // the next request has come, or what is left
+			c.changed.Wait()
+		}
+		switch {
+		case c.ended:
+			c.mu.Unlock()
+			return false
+		case c.x != x && !c.linger.IsZero():
+			c.mu.Unlock()
+			c.drop()
+			return false
+		case c.x != x:
+			c.mu.Unlock()
+			return true
+		}
+		c.mu.Unlock()
+		n, err := c.nc.Read(c.buf)
+		if n > 0 {
+			c.pieces.Feed(c.buf[:n])
+		}
+		c.mu.Lock()
+		switch {
+		case n > 0 || err == nil || c.ended || !c.linger.IsZero():
+		case isTimeout(err) && c.x == x: // a deadline of before
+			c.nc.SetReadDeadline(time.Time{})
+		case isTimeout(err):
+			c.end("idle")
+		default:
+			c.end(left(c.nc, err))
+		}
+	}
+}
+
+// drop reads what a client still sends after its last answer, for a while.
+func (c *stream) drop() {
+	for spilt := 0; spilt <= lingerMost; {
+		n, err := c.nc.Read(c.buf)
+		if spilt += n; err != nil {
+			break
+		}
+	}
+	c.cut("answered-last")
+}
+
+// refuse answers what can't be read, or came too slowly. Nothing more is read after it.
+func (c *stream) refuse(err error) {
+	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return
+	}
+	c.last, c.count = true, c.count+1
+	c.mu.Unlock()
+	c.nc.SetWriteDeadline(time.Now().Add(answerWait))
+	if _, err := c.nc.Write(http1.Problem(err).Append(nil, true)); err == nil && closeWrite(c.nc) {
+		c.mu.Lock()
+		c.linger = time.Now().Add(lingerWait)
+		c.mu.Unlock()
+		c.nc.SetReadDeadline(time.Now().Add(lingerWait))
+		c.drop()
+		return
+	}
+	c.cut("answered-last")
+}
+
+// closes reports whether the answer that begins now is the last one. The lock is held.
+func (c *stream) closes(x *Exchange) bool {
+	x.told = true
+	c.last = c.last || !x.whole || c.s.Draining() || c.s.crowded()
+	return c.last
+}
+
+// respond writes a whole answer.
+func (c *stream) respond(x *Exchange, a *http1.Answer) {
+	c.mu.Lock()
+	if c.ended || c.x != x {
+		c.mu.Unlock()
+		return
+	}
+	if x.answer != nil {
+		a = x.answer
+	}
+	out := a.Append(c.out[:0], c.closes(x))
+	if x.Method == http.MethodHead {
+		out = out[:len(out)-len(a.Body)]
+	}
+	c.out = out
+	c.mu.Unlock()
+	c.nc.SetWriteDeadline(time.Now().Add(answerWait))
+	_, err := c.nc.Write(out)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.end("answer-not-written")
+	}
+	c.finish(x)
+}
+
+// finish ends an exchange whose answer is out. The lock is held.
+func (c *stream) finish(x *Exchange) {
+	c.settle(x)
+	if c.ended || c.x != x {
+		return
+	}
+	c.add(x)
+	c.x, c.used = nil, time.Now()
+	c.changed.Broadcast()
+	if cap(c.out) > 16<<10 {
+		c.out = nil
+	}
+	switch {
+	case !c.last:
+		c.nc.SetReadDeadline(c.used.Add(idleWait))
+	case x.whole || !closeWrite(c.nc):
+		c.end("answered-last")
+	default: // the client may still be sending
+		c.linger = c.used.Add(lingerWait)
+		c.nc.SetReadDeadline(c.linger)
+	}
+}
+
+// settle gives back what an exchange holds. The lock is held.
+func (c *stream) settle(x *Exchange) {
+	x.Upload.Over()
+	if x.room != nil {
+		x.room.Close(x.clock())
+	}
+}
+
+func (c *stream) usage() usage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since := c.used
+	if !c.begun.IsZero() && c.count > 0 {
+		since = c.begun
+	}
+	switch {
+	case c.ended || !c.linger.IsZero():
+		return usage{rankOver, c.since}
+	case c.x != nil:
+		return usage{rankBusy, c.since}
+	case c.count > 0 && c.begun.IsZero():
+		return usage{rankIdle, since}
+	case time.Since(since) < silentWait:
+		return usage{rankNew, since}
+	}
+	return usage{rankSilent, since}
+}
+
+func (c *stream) makeRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.x != nil && !c.ended {
+		return false
+	}
+	c.end("made-room")
+	return true
+}
+
+func (c *stream) closeIdle(code string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.x == nil && c.begun.IsZero() {
+		c.end(code)
+	}
+}
+
+// cut ends the connection, whatever it is used for.
+func (c *stream) cut(code string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end(code)
+}
+
+// end closes the connection and leaves its log line. The lock is held.
+func (c *stream) end(code string) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	c.nc.Close()
+	x := c.x
+	if x != nil {
+		c.add(x)
+		if x.leave != nil {
+			x.leave()
+		}
+		if x.reply != nil {
+			x.reply.Cut()
+		}
+		if !x.whole {
+			go x.Upload.Break() // it may wait for a write that the end of the server's connection ends
+		}
+		c.settle(x)
+	}
+	c.changed.Broadcast()
+	c.s.log.Info().Str("side", "client").Str("code", code).Bool("waiting", x != nil).Int("requests", c.count).
+		Int64("up", c.up).Int64("down", c.down).Dur("age", time.Since(c.since)).Msg("connection ended")
+}
+
+// add counts the bytes of an exchange that is over. The lock is held.
+func (c *stream) add(x *Exchange) {
+	c.up += x.up.Load()
+	if x.down != nil {
+		c.down += x.down.Bytes()
+	}
+}
+
+// Room is what the answer may hold.
+func (x *Exchange) Room() *flow.Transfer { return x.room }
+
+// Head writes the head of an answer.
+func (x *Exchange) Head(r *transfer.Reply) error {
+	c := x.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || c.x != x {
+		return net.ErrClosed
+	}
+	x.down = transfer.NewSide(c.nc, x.terms.ClientDown)
+	out := c.out[:0]
+	modern := x.ProtoAtLeast(1, 1)
+	if modern {
+		for _, head := range r.Interim {
+			out = append(out, head...)
+		}
+	}
+	last := c.closes(x)
+	lengthless := !r.Bare && r.Length < 0
+	if lengthless && !modern {
+		c.last, last = true, true
+	}
+	out = append(out, "HTTP/1.1 "...)
+	out = append(out, r.Status...)
+	out = append(out, "\r\n"...)
+	out = http1.AppendHeaders(out, r.Header)
+	switch {
+	case lengthless && modern:
+		x.form = formChunks
+		out = http1.AppendHeader(out, "Transfer-Encoding", "chunked")
+	case r.Bare && r.StatusCode != http.StatusNoContent && r.ContentLength >= 0:
+		out = http1.AppendHeader(out, "Content-Length", strconv.FormatInt(r.ContentLength, 10))
+	case !r.Bare && !lengthless:
+		out = http1.AppendHeader(out, "Content-Length", strconv.FormatInt(r.Length, 10))
+	}
+	if last {
+		out = http1.AppendHeader(out, "Connection", "close")
+	}
+	x.out = append(out, "\r\n"...)
+	c.nc.SetWriteDeadline(time.Time{})
+	return nil
+}
+
+// Pieces up to this size are gathered and go out together: a copy costs less than a system call.
+const gather = 8 << 10
+
+// Write writes some of the body.
+func (x *Exchange) Write(p []byte) error {
+	if x.form == formChunks {
+		x.out = append(strconv.AppendInt(x.out, int64(len(p)), 16), "\r\n"...)
+	}
+	if len(x.out)+len(p) <= 2*gather && len(p) <= gather {
+		x.out = append(x.out, p...)
+	} else {
+		if err := x.Flush(); err != nil {
+			return err
+		}
+		if err := x.down.Write(p); err != nil {
+			return x.failed(err)
+		}
+	}
+	if x.form == formChunks {
+		x.out = append(x.out, "\r\n"...)
+	}
+	return nil
+}
+
+// Flush writes what was gathered.
+func (x *Exchange) Flush() error {
+	if len(x.out) == 0 {
+		return nil
+	}
+	err := x.down.Write(x.out)
+	x.out = x.out[:0]
+	return x.failed(err)
+}
+
+// failed ends the connection if a write has failed.
+func (x *Exchange) failed(err error) error {
+	if err == nil {
+		return nil
+	}
+	code := "answer-not-written"
+	var slow *transfer.SlowError
+	if errors.As(err, &slow) {
+		code = "client-" + slow.Error()
+	}
+	x.c.cut(code)
+	return err
+}
+
+// End ends the answer, which is whole.
+func (x *Exchange) End(trailer []byte) {
+	if x.form == formChunks {
+		x.out = append(append(append(x.out, "0\r\n"...), trailer...), "\r\n"...)
+	}
+	if x.Flush() != nil {
+		return
+	}
+	c := x.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.out = x.out
+	c.finish(x)
+}
+
+// Fail says that there is no answer.
+func (x *Exchange) Fail() { x.c.respond(x, http1.Plain(http.StatusBadGateway, "no answer")) }
+
+// Cut breaks the answer off, so that the client can tell: there is no last chunk, or less than the length.
+func (x *Exchange) Cut() {
+	x.Flush()
+	x.c.cut("answer-cut")
+}
--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,9 @@
 // Judge says what a whole response means, and what of it the front is to get.
 type Judge func(*http1.Response) core.Result
 
+// JudgeHead says what a response means whose head alone has come.
+type JudgeHead func(*http.Response) choice.Code
+
 // Config is what New needs.
 type Config struct {
 	Dial        func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -36,6 +40,7 @@
 	Connections int           // the most to all servers
 	Stall       time.Duration // how long an answer that has begun may stand still; 0: any time
 	Judge       Judge
+	Streams     JudgeHead // if set, answers are passed on as they come, and payloads are Streamed
 	Limits      http1.Limits
 	Log         zerolog.Logger
 }
@@ -116,11 +121,24 @@
 	aborted bool
 	written bool // the last byte may have gone out
 	conn    *conn
+
+	stream *streaming // nil: the answer is held whole
+}
+
+// over ends the attempt.
+func (x *exchange) over(res core.Result) {
+	if x.stream != nil {
+		x.stream.over(&res)
+	}
+	x.End(res)
 }
 
 // Start sends an attempt, on an idle connection if there is one.
 func (f *Forwarder) Start(a core.Attempt) core.Running {
 	x := &exchange{Attempt: a, f: f}
+	if f.Streams != nil && !x.streams() {
+		return x
+	}
 	if f.pass(a) {
 		go x.dial()
 		return x
@@ -158,7 +176,7 @@
 	x.mu.Unlock()
 	if aborted {
 		c.end("attempt-given-up")
-		x.End(core.Result{Code: choice.Refused})
+		x.over(core.Result{Code: choice.Refused})
 	}
 	return !aborted
 }
@@ -228,6 +246,10 @@
 	mayHaveRun = x.written
 	c, cancel := x.conn, x.cancel
 	x.mu.Unlock()
+	if x.stream != nil {
+		mayHaveRun = mayHaveRun || x.stream.lost()
+		x.stream.detach()
+	}
 	if cancel != nil {
 		cancel()
 	}
@@ -254,14 +276,14 @@
 	aborted := x.aborted
 	x.mu.Unlock()
 	if aborted {
-		x.End(core.Result{Code: choice.Refused})
+		x.over(core.Result{Code: choice.Refused})
 		return nil
 	}
 	select {
 	case x.f.slots <- struct{}{}:
 	default: // guards the limit on sockets: the gate takes it for a server that accepts no more
 		x.f.Log.Warn().Str("code", "too-many-connections").Msg("attempt not sent")
-		x.End(core.Result{Code: choice.Refused})
+		x.over(core.Result{Code: choice.Refused})
 		return nil
 	}
 	nc, err := x.f.Dial(ctx, "tcp", x.Server.Addr)
@@ -269,7 +291,7 @@
 		<-x.f.slots
 		x.f.Log.Info().Str("side", "server").Str("code", "dial-failed").Str("server", x.Server.Name).
 			Err(err).Msg("connection ended")
-		x.End(core.Result{Code: choice.Refused})
+		x.over(core.Result{Code: choice.Refused})
 		return nil
 	}
 	return nc
@@ -277,13 +299,17 @@
 
 // begin sends the request on a new connection, and reads that to its end.
 func (x *exchange) begin(nc net.Conn) {
-	c := &conn{f: x.f, nc: nc, at: placeOf(x.Server), since: time.Now(),
-		frames: http1.NewResponses(x.f.Limits)}
+	c := &conn{f: x.f, nc: nc, at: placeOf(x.Server), since: time.Now()}
+	if x.stream != nil {
+		c.pieces = http1.ResponsePieces(x.f.Limits.Head)
+	} else {
+		c.frames = http1.NewResponses(x.f.Limits)
+	}
 	if !x.on(c) {
 		return
 	}
 	if !x.write(c) {
-		x.End(core.Result{Code: choice.Refused})
+		x.over(core.Result{Code: choice.Refused})
 		return
 	}
 	c.read()
@@ -294,6 +320,10 @@
 func (x *exchange) write(c *conn) bool {
 	c.mu.Lock()
 	msg := x.Payload.(Message).Append(c.out[:0], x.Server, x.Timeout)
+	head := len(msg)
+	if x.stream != nil {
+		msg = x.stream.begin(msg)
+	}
 	c.out = msg
 	spoilt := !c.ended && c.unread()
 	x.mu.Lock()
@@ -303,6 +333,9 @@
 	if !stop {
 		c.x, c.writing = x, true
 		c.count++
+		if x.stream != nil && x.stream.head {
+			c.pieces.NoBody()
+		}
 	}
 	c.mu.Unlock()
 	if stop {
@@ -319,9 +352,10 @@
 	}
 	c.mu.Unlock()
 	if err == nil {
+		x.attach(c)
 		return true
 	}
-	if n < len(msg) {
+	if n < head || x.stream == nil && n < len(msg) {
 		x.mu.Lock()
 		x.written = false
 		x.mu.Unlock()
@@ -342,7 +376,9 @@
 	used  time.Time // when it last became idle; the pool's lock guards it
 
 	mu      sync.Mutex
-	frames  *http1.Framer
+	frames  *http1.Framer // of answers held whole; else nil
+	pieces  *http1.Pieces // of those passed on; else nil
+	interim [][]byte      // 1xx answers before the one awaited
 	parser  http1.Parser
 	out     []byte
 	x       *exchange // nil while idle
@@ -390,9 +426,10 @@
 		}
 		c.mu.Lock()
 		if n > 0 {
-			c.frames.Feed(buf[:n])
+			c.feed(buf[:n])
 		}
-		busy, ended, begun := c.x != nil, c.ended, c.frames.Started()
+		x, ended, begun := c.x, c.ended, c.started()
+		busy := x != nil
 		left := err != nil && n == 0 && c.writing
 		if left {
 			c.broke = err
@@ -408,6 +445,10 @@
 				c.end("idle")
 				return
 			}
+			if busy && x.stream != nil && x.stream.late() {
+				c.finish(core.Result{Code: choice.TimedOut}, "answer-late")
+				return
+			}
 			if busy && begun {
 				c.finish(core.Result{Code: choice.Reset}, "bad-answer")
 				return
@@ -421,13 +462,34 @@
 			c.finish(core.Result{Code: choice.Reset}, "unasked-bytes")
 			return
 		default:
-			if !c.answer(err) {
+			answer := c.answer
+			if c.pieces != nil {
+				answer = func(err error) bool { return c.pass(buf, err) }
+			}
+			if !answer(err) {
 				return
 			}
 		}
 	}
 }
 
+// feed takes bytes of an answer. The lock is held.
+func (c *conn) feed(p []byte) {
+	if c.pieces != nil {
+		c.pieces.Feed(p)
+	} else {
+		c.frames.Feed(p)
+	}
+}
+
+// started reports whether part of an answer is here. The lock is held.
+func (c *conn) started() bool {
+	if c.pieces != nil {
+		return c.pieces.Begun()
+	}
+	return c.frames.Started()
+}
+
 // answer looks whether the response is whole, and hands it on. It reports whether to read on.
 func (c *conn) answer(readErr error) bool {
 	c.mu.Lock()
@@ -464,13 +526,22 @@
 		c.finish(result, "server-closed")
 		return false
 	}
+	x, ended := c.rest()
+	if x != nil {
+		x.over(result)
+	}
+	return !ended
+}
+
+// rest makes a connection idle whose answer has come whole.
+func (c *conn) rest() (x *exchange, ended bool) {
 	c.mu.Lock()
 	x, kept := c.x, c.count > 1
 	c.x = nil
 	if cap(c.out) > 16<<10 {
 		c.out = nil
 	}
-	ended := c.ended
+	ended = c.ended
 	c.mu.Unlock()
 	if kept {
 		c.f.reused(false)
@@ -478,10 +549,7 @@
 	if !ended {
 		c.f.give(c)
 	}
-	if x != nil {
-		x.End(result)
-	}
-	return !ended
+	return x, ended
 }
 
 // finish ends the connection, and with it the attempt that it carries.
@@ -489,14 +557,14 @@
 	c.mu.Lock()
 	x := c.x
 	c.x = nil
-	broke := x != nil && c.count > 1 && code == "server-reset" && !c.frames.Started()
+	broke := x != nil && c.count > 1 && code == "server-reset" && !c.started()
 	c.mu.Unlock()
 	if broke {
 		c.f.reused(true)
 	}
 	c.end(code)
 	if x != nil {
-		x.End(res)
+		x.over(res)
 	}
 }
 
--- /dev/null
+++ b/internal/net/transfer/side.go
@@ -0,0 +1,160 @@
+package transfer
+
+import (
+	"errors"
+	"math/bits"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dunespoke/internal/flow"
+)
+
+// Terms are what one exchange is held to.
+type Terms struct {
+	ClientUp, ClientDown flow.Pace
+	ServerUp, ServerDown flow.Pace
+	Head                 time.Duration // for the answer's head, after a long request has gone; 0: any
+}
+
+// Side is one side's connection in one direction, held to a pace. It is not safe for concurrent use.
+type Side struct {
+	Conn  net.Conn
+	watch *flow.Watch
+	start time.Time
+	paced bool
+	moved atomic.Int64
+}
+
+// NewSide returns a side that nobody waits for yet.
+func NewSide(nc net.Conn, p flow.Pace) *Side {
+	return &Side{Conn: nc, watch: flow.NewWatch(p), start: time.Now(), paced: p != (flow.Pace{})}
+}
+
+// SlowError is the error of a side that was too slow.
+type SlowError struct{ flow.Blame }
+
+// Error says in what way.
+func (e *SlowError) Error() string { return e.String() }
+
+func (s *Side) now() time.Duration { return time.Since(s.start) }
+
+// Bytes tells how many have moved. It may be called by any goroutine.
+func (s *Side) Bytes() int64 { return s.moved.Load() }
+
+// Read reads what comes. A side that is too slow gives a *SlowError.
+func (s *Side) Read(p []byte) (int, error) {
+	if !s.paced {
+		n, err := s.Conn.Read(p)
+		s.moved.Add(int64(n))
+		return n, err
+	}
+	s.watch.Wait(s.now())
+	due, _ := s.watch.Due()
+	s.Conn.SetReadDeadline(s.start.Add(due))
+	n, err := s.Conn.Read(p)
+	now := s.now()
+	if n == 0 && timeout(err) {
+		if blame := s.watch.Judge(now); blame != flow.None {
+			return 0, &SlowError{blame}
+		}
+	}
+	s.watch.Moved(now, n)
+	s.moved.Add(int64(n))
+	return n, err
+}
+
+// Write writes all, or tells why not.
+func (s *Side) Write(p []byte) error {
+	if !s.paced {
+		n, err := s.Conn.Write(p)
+		s.moved.Add(int64(n))
+		return err
+	}
+	for len(p) > 0 {
+		s.watch.Wait(s.now())
+		due, _ := s.watch.Due()
+		s.Conn.SetWriteDeadline(s.start.Add(due))
+		n, err := s.Conn.Write(p)
+		now := s.now()
+		if n == 0 && timeout(err) {
+			if blame := s.watch.Judge(now); blame != flow.None {
+				return &SlowError{blame}
+			}
+		}
+		s.watch.Moved(now, n)
+		s.moved.Add(int64(n))
+		// Part of it may have gone, slowly; whether that was too slow is judged with what comes next.
+		if err != nil && (n == 0 || !timeout(err)) {
+			return err
+		}
+		p = p[n:]
+	}
+	return nil
+}
+
+func timeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// Window is the memory that one direction of a transfer reads into. It grows while reads fill it, as far as
+// the transfer's room lets it, and shrinks while they don't.
+type Window struct {
+	room *flow.Transfer
+	dir  flow.Direction
+	base []byte // what there is without any room
+	size int
+	buf  []byte
+}
+
+// NewWindow returns a window over a small buffer that is there anyway. The room may be nil.
+func NewWindow(room *flow.Transfer, d flow.Direction, base []byte) *Window {
+	return &Window{room: room, dir: d, base: base, size: len(base)}
+}
+
+// mostWindow is the size of the largest buffers: beyond it, larger ones save few system calls.
+const mostWindow = 128 << 10
+
+// Take returns where to read to.
+func (w *Window) Take() []byte {
+	if w.room == nil || w.size <= len(w.base) {
+		return w.base
+	}
+	n := w.room.Take(w.dir, w.size)
+	if n <= len(w.base) {
+		w.room.Give(w.dir, n)
+		return w.base
+	}
+	w.buf = buffer(n)
+	return w.buf[:n]
+}
+
+// Done tells that of what Take returned so much was used, and is not needed any more.
+func (w *Window) Done(taken []byte, used int) {
+	if w.buf != nil {
+		w.room.Give(w.dir, len(taken))
+		release(w.buf)
+		w.buf = nil
+	}
+	switch {
+	case used == len(taken):
+		w.size = min(2*len(taken), mostWindow)
+	case used < len(taken)/4:
+		w.size = max(len(taken)/2, len(w.base))
+	}
+}
+
+// buffers are kept by the power of two that is their size.
+var buffers [bits.UintSize]sync.Pool
+
+func buffer(n int) []byte {
+	class := bits.Len(uint(n - 1))
+	if b, ok := buffers[class].Get().(*[]byte); ok {
+		return *b
+	}
+	return make([]byte, 1<<class)
+}
+
+func release(b []byte) { buffers[bits.Len(uint(len(b)-1))].Put(&b) }
