--- a/cmd/dunelab/main.go
+++ b/cmd/dunelab/main.go
@@ -27,13 +27,13 @@
 
 type commands struct {
 	Idp       idpCommand       `cmd:"" help:"Play an authorization server, with faults by script."`
-	Endpoint  endpointCommand  `cmd:"" help:"Play an introspection endpoint with a defect, for dunespoke conform."`
+	Endpoint  endpointCommand  `cmd:"" help:"Play an introspection endpoint with a defect."`
 	Load      loadCommand      `cmd:"" help:"Ask an introspection front questions, in an open loop."`
 	Origin    originCommand    `cmd:"" help:"Play an app server that streams, with faults by script."`
 	Proxy     proxyCommand     `cmd:"" help:"Play net/http/httputil.ReverseProxy, for comparison."`
 	Transfers transfersCommand `cmd:"" help:"Make transfers of unlike speeds, all at once."`
 	Streaming streamingCommand `cmd:"" help:"Measure the streaming front beside ReverseProxy."`
-	Payday    paydayCommand    `cmd:"" help:"Measure introspection on a payday, by feature switched off in turn."`
+	Payday    paydayCommand    `cmd:"" help:"Measure introspection on a payday."`
 }
 
 type idpCommand struct {
--- a/cmd/dunelab/streaming.go
+++ b/cmd/dunelab/streaming.go
@@ -342,7 +342,7 @@
 	return sum / float64(max(1, len(all)))
 }
 
-// cpu measures processor time for a GB each way, in long bodies and in small ones, program by program in turn.
+// cpu measures processor time for a GB each way, in long bodies and in small ones.
 func (c *streamingCommand) cpu(ctx context.Context, all []starter) error {
 	fmt.Println("\n| program | down, 64 MB bodies, s/GB | up, s/GB | 4 KB answers, µs each |")
 	fmt.Println("|---|---|---|---|")
--- a/cmd/dunespoke/gateway.go
+++ b/cmd/dunespoke/gateway.go
@@ -75,7 +75,9 @@
 		return err
 	}
 	p.take(accept.NewStreams(l, front, share.clients, accept.Streams{Head: g.Head, Short: g.Short,
-		Drain: time.Duration(g.Drain)}, p.log), g.Listen, share.clients, side)
+		Wait: time.Duration(
+			g.Wait,
+		), Idle: time.Duration(g.KeepAlive), Drain: time.Duration(g.Drain)}, p.log), g.Listen, share.clients, side)
 	return nil
 }
 
--- a/cmd/dunespoke/gateway_test.go
+++ b/cmd/dunespoke/gateway_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +19,8 @@
 		Short:     16,
 		Gateways:  1,
 		Drain:     5 * second,
+		Wait:      3 * second,
+		KeepAlive: 60 * second,
 		Transfers: config.Transfers{Bytes: 16 << 10, Window: 4 << 10, Least: 1 << 10},
 		Pace:      config.Pace{ClientStall: 20 * second, ServerStall: 20 * second},
 		Pools: []config.Pool{{Name: "apps", Servers: []string{"app"}, Insecure: true, KeepAlive: 10 * second,
@@ -355,3 +358,64 @@
 		t.Errorf("what was cut is not in the log:\n%s", log)
 	}
 }
+
+// A route may ask for an access token, and count by what that claims.
+func TestGatewayCountsByClaims(t *testing.T) {
+	o := testOperator("few")
+	o.Gateway = gatewayConf().Gateway
+	o.Gateway.Plans[0].Burst = 1
+	r := &o.Gateway.Routes[0]
+	r.Token, r.Customer, r.Require.Scopes = true, "claim:sub", []string{"files"}
+	const asks = `GET /a HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer `
+	through(t, o, `
+		client1 send GET /a HTTP/1.1\r\nHost: h\r\n\r\n
+		client1 expect HTTP/1.1 401
+		client1 expect WWW-Authenticate: Bearer
+		client1 send `+asks+`tok1\r\n\r\n
+		idp1 expect token=tok1
+		idp1 send $json41\r\n\r\n{"active":true,"sub":"a","scope":"books"}
+		client1 expect HTTP/1.1 403
+		client1 send `+asks+`tok2\r\n\r\n
+		client1 wait 10ms
+		idp1 expect token=tok2
+		idp1 send $json41\r\n\r\n{"active":true,"sub":"a","scope":"files"}
+		app expect GET /a
+		app send $g-ok
+		client1 expect money
+		client2 send `+asks+`tok3\r\n\r\n
+		idp1 expect token=tok3
+		idp1 send $json41\r\n\r\n{"active":true,"sub":"a","scope":"files"}
+		client2 expect HTTP/1.1 429
+		client2 send `+asks+`tok4\r\n\r\n
+		idp1 expect token=tok4
+		idp1 send $json41\r\n\r\n{"active":true,"sub":"b","scope":"files"}
+		app expect GET /a
+		app send $g-ok
+		client2 expect money
+	`)
+}
+
+// A server that drains gets nothing new, and what runs there goes on.
+func TestGatewayLetsTransfersOfDrainingServersEnd(t *testing.T) {
+	o := gatewayConf()
+	o.Gateway.Pools[0].Servers, o.Gateway.Pools[0].Discovery = nil, "discovery"
+	list := func(lifecycle string, generation int) string {
+		return fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"app",`+
+			`"zone":"a","lifecycle":"%s","weight":1}]}`, generation, lifecycle)
+	}
+	line := func(text string) string { return fmt.Sprintf(`%x\r\n%s\n\r\n`, len(text)+1, text) }
+	through(t, o, `
+		discovery expect GET
+		discovery send HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n`+line(list("Ready", 5))+`
+		client1 send $g-get
+		app expect GET
+		app send HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello
+		client1 expect hello
+		discovery send `+line(list("Draining", 6))+`
+		client2 send $g-get
+		client2 expect HTTP/1.1 429
+		app send world
+		client1 expect world
+		client1 wait nothing
+	`)
+}
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -26,9 +26,11 @@
 	Counter   string    `toml:"counter"` // of quotas; empty: the platform's, if there is one
 	Gateways  int       `toml:"gateways"`
 	Zone      string    `toml:"zone"`
-	Drain     Duration  `toml:"drain"`     // for which transfers may go on after SIGTERM
-	Sockets   int       `toml:"sockets"`   // that the whole program may hold, without the platform
-	MemoryMB  int       `toml:"memory_mb"` // that connections and transfers may take at the most; 0: any
+	Wait      Duration  `toml:"wait"`       // for a request's head and a short body
+	KeepAlive Duration  `toml:"keep_alive"` // of clients' connections, while there are enough
+	Drain     Duration  `toml:"drain"`      // for which transfers may go on after SIGTERM
+	Sockets   int       `toml:"sockets"`    // that the whole program may hold, without the platform
+	MemoryMB  int       `toml:"memory_mb"`  // that connections and transfers may take at the most; 0: any
 	Transfers Transfers `toml:"transfers"`
 	Pace      Pace      `toml:"pace"` // of routes that have none of their own
 	Pools     []Pool    `toml:"pool"`
@@ -107,7 +109,7 @@
 // defaults fills in what a file may leave out. It comes before the file is read.
 func (g *Gateway) defaults() {
 	g.Head, g.Short, g.Gateways = 16<<10, 4<<10, 1
-	g.Drain = Duration(30 * time.Second)
+	g.Drain, g.Wait, g.KeepAlive = Duration(30*time.Second), Duration(10*time.Second), Duration(time.Minute)
 	g.Transfers = Transfers{Bytes: 16 << 20, Window: 64 << 10, Least: 4 << 10}
 	g.Pace = Pace{ClientStall: Duration(30 * time.Second), ServerStall: Duration(30 * time.Second),
 		Grace: Duration(10 * time.Second)}
@@ -144,6 +146,9 @@
 	if g.Short < 0 || g.Short > 64<<10 {
 		f.add(atGateway+"short", "%d, want 0 to 65536", g.Short)
 	}
+	if g.Wait <= 0 || g.KeepAlive <= 0 {
+		f.add(atGateway+"wait", "wait and keep_alive must be above 0")
+	}
 	if g.Gateways < 1 || g.Gateways > 1000 {
 		f.add(atGateway+"gateways", "%d, want 1 to 1000", g.Gateways)
 	}
--- a/internal/net/accept/stream.go
+++ b/internal/net/accept/stream.go
@@ -31,6 +31,8 @@
 type Streams struct {
 	Head  int           // bytes of a request's head, at most
 	Short int           // bytes of a body that is read whole first, if it tells its length
+	Wait  time.Duration // for a request's head and a short body
+	Idle  time.Duration // between requests
 	Drain time.Duration // for which exchanges may go on once the server drains; 0: any time
 }
 
@@ -188,11 +190,11 @@
 	defer c.mu.Unlock()
 	switch {
 	case c.count == 0:
-		return c.since.Add(requestWait)
+		return c.since.Add(c.s.streams.Wait)
 	case c.begun.IsZero():
-		return time.Now().Add(idleWait)
+		return time.Now().Add(c.s.streams.Idle)
 	}
-	return c.begun.Add(requestWait)
+	return c.begun.Add(c.s.streams.Wait)
 }
 
 // request takes a request from its head on until it is answered. It reports whether to read on.
@@ -468,7 +470,7 @@
 	}
 	switch {
 	case !c.last:
-		c.nc.SetReadDeadline(c.used.Add(idleWait))
+		c.nc.SetReadDeadline(c.used.Add(c.s.streams.Idle))
 	case x.whole || !closeWrite(c.nc):
 		c.end("answered-last")
 	default: // the client may still be sending
--- a/middleware/ginmw/ginmw.go
+++ b/middleware/ginmw/ginmw.go
@@ -51,7 +51,14 @@
 func (w *writer) Status() int         { return max(w.status, http.StatusOK) }
 func (w *writer) Size() int           { return w.size }
 func (w *writer) Written() bool       { return w.size > 0 }
-func (w *writer) Flush()              {}
+
+// Flush is of effect where the request streams.
+func (w *writer) Flush() {
+	if f, ok := w.to.(http.Flusher); ok {
+		w.WriteHeaderNow()
+		f.Flush()
+	}
+}
 
 func (w *writer) WriteHeader(status int) {
 	if status > 0 {
--- a/middleware/local.go
+++ b/middleware/local.go
@@ -19,6 +19,9 @@
 	answer  chan core.Answer
 	ended   chan struct{}
 	begun   atomic.Bool // set by the start of the run, or by a client that left before it
+	stream  *streamed   // nil: request and answer are held whole
+	context context.Context
+	cancel  context.CancelFunc // ends the run of a stream
 }
 
 // none returns a channel that is closed already.
@@ -39,6 +42,11 @@
 		a.End(core.Result{Code: choice.Skipped})
 		return running(func() {})
 	}
+	if c.stream != nil { // what takes long after its head is not late
+		c.stream.end = a.End
+		go c.stream.run(c.context)
+		return running(c.cancel)
+	}
 	ctx, cancel := context.WithTimeout(c.request.Context(), a.Timeout)
 	go c.serve(ctx, a.End)
 	return running(cancel)
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -1,6 +1,6 @@
 // Package middleware holds a program's own HTTP handlers to quotas, by the same core as the ingress. The
 // wrapped handler is the core's one backend: it is run when the core sends a request on, and its answer is
-// kept back whole until it is the final one.
+// kept back whole until it is the final one. Where a request streams, only the answer's head is.
 package middleware
 
 import (
@@ -15,6 +15,7 @@
 
 	"dunespoke/choice"
 	"dunespoke/core"
+	"dunespoke/internal/flow"
 )
 
 // Options are what New needs.
@@ -26,7 +27,11 @@
 	// Classify says what a request counts as: its class, plan, customer, units and spread. An error is
 	// answered 400.
 	Classify func(*http.Request) (core.Request, error)
-	MostBody int64 // bytes of a request's body; 0: 64 KiB
+	MostBody int64 // bytes of a request's body that is held whole; 0: 64 KiB
+	// Streams says whether a request's body and its answer are passed on as they come, in any length; nil:
+	// none are. MostStreams are so at a time; more are answered 503. 0: 1,000.
+	Streams     func(*http.Request) bool
+	MostStreams int
 }
 
 // Limiter admits requests.
@@ -34,6 +39,8 @@
 	Options
 	core     *core.Core
 	patience map[string]time.Duration
+	streams  *flow.Budget
+	start    time.Time
 }
 
 // errClass names a class that the settings don't have.
@@ -54,7 +61,11 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Limiter{Options: o, core: c, patience: map[string]time.Duration{}}
+	if o.MostStreams <= 0 {
+		o.MostStreams = 1000
+	}
+	l := &Limiter{Options: o, core: c, patience: map[string]time.Duration{}, streams: budget(o.MostStreams),
+		start: time.Now()}
 	for _, k := range o.Settings.Classes {
 		l.patience[k.Name] = k.Deadline
 	}
@@ -81,6 +92,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return c.none()
 	}
+	c.request = r
+	in.Payload, in.Reply = c, func(a core.Answer) { c.answer <- a }
+	if l.Streams != nil && l.Streams(r) {
+		in.Deadline = l.core.Now() + patience
+		c.context, c.cancel = context.WithCancel(r.Context())
+		return l.stream(w, r, in, c)
+	}
 	// Read whole first: a client that is slow to send holds nothing of the core, and a run that outlives its
 	// answer reads nothing that is no longer there.
 	c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, l.MostBody))
@@ -93,8 +111,6 @@
 		http.Error(w, "body can't be read", http.StatusBadRequest)
 		return c.none()
 	}
-	c.request = r
-	in.Payload, in.Reply = c, func(a core.Answer) { c.answer <- a }
 	in.Deadline = l.core.Now() + patience
 	ticket := l.core.Submit(in)
 	var a core.Answer
