--- a/cmd/dunespoke/allocs_test.go
+++ b/cmd/dunespoke/allocs_test.go
@@ -3,17 +3,13 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
-	"github.com/rs/zerolog"
-
-	"dunespoke/internal/net/direct"
+	"dunespoke/internal/config"
 )
 
 // What the gateway allocates, client, app server and all: 110% of it fails. Measured with go1.26 on amd64.
@@ -22,39 +18,13 @@
 	allocsMegabyte = 192
 )
 
-// gatewayOn runs a gateway before an app server on loopback, and returns its address.
-func gatewayOn(b *testing.B) string {
-	app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var n int
-		fmt.Sscan(r.URL.Query().Get("bytes"), &n)
+func benchmarkBytes(b *testing.B, n int) {
+	app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", fmt.Sprint(n))
 		w.Write(make([]byte, n))
 	}))
-	b.Cleanup(app.Close)
-	o := gatewayConf()
-	o.Gateway.Listen = "127.0.0.1:0"
-	o.Gateway.Pools[0].Servers = []string{app.Listener.Addr().String()}
-	o.Gateway.Plans[0].Rate = 0
-	o.Gateway.Transfers.Bytes, o.Gateway.Transfers.Window = 1<<20, 64<<10
-	ctx, end := context.WithCancel(context.Background())
-	b.Cleanup(end)
-	addr := make(chan string, 1)
-	p := &program{log: zerolog.Nop(), dial: direct.Dial, work: ctx, failed: make(chan error, 4)}
-	p.listen = func(network, at string) (net.Listener, error) {
-		l, err := direct.Listen(network, at)
-		if err == nil {
-			addr <- l.Addr().String()
-		}
-		return l, err
-	}
-	if err := p.start(nil, o); err != nil {
-		b.Fatal(err)
-	}
-	return <-addr
-}
-
-func benchmarkBytes(b *testing.B, n int) {
-	address := fmt.Sprintf("http://%s/?bytes=%d", gatewayOn(b), n)
+	defer app.Close()
+	address := "http://" + gatewayOn(b, app, func(*config.Gateway) {})
 	b.ReportAllocs()
 	b.ResetTimer()
 	for range b.N {
--- a/cmd/dunespoke/gateway.go
+++ b/cmd/dunespoke/gateway.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"reflect"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"dunespoke/choice"
@@ -19,66 +22,125 @@
 	"dunespoke/internal/net/secure"
 )
 
-// gateway starts the front for any HTTP traffic, with a core for each pool.
-func (p *program) gateway(g *config.Gateway, share sockets) error {
+// gate is the general HTTP front with all that stands behind it.
+type gate struct {
+	p      *program
+	share  sockets
+	side   *secure.Side // nil: plain text
+	conf   *config.Gateway
+	front  *gateway.Front
+	budget *flow.Budget
+	counts core.Counter // shared by the pools' cores
+	pools  atomic.Pointer[map[string]*pool]
+}
+
+// pool is the core of a pool of app servers. It may outlive the configuration that it was made for.
+type pool struct {
+	*core.Core
+	conf config.Pool
+	set  choice.Settings
+	end  context.CancelFunc
+}
+
+// startGateway starts the front for any HTTP traffic, with a core for each pool.
+func (p *program) startGateway(g *config.Gateway, share sockets) (*gate, error) {
 	if g.MemoryMB > 0 {
 		if bound := g.Bound(share.clients, share.servers); bound > g.MemoryMB<<20 {
-			return fmt.Errorf("gateway.memory_mb: %d, and %d connections with transfers may take %d", g.MemoryMB,
-				share.clients+share.servers, bound>>20)
+			return nil, fmt.Errorf("gateway.memory_mb: %d, and %d connections with transfers may take %d",
+				g.MemoryMB, share.clients+share.servers, bound>>20)
 		}
 		if p.conf == nil { // on the platform its limit counts
 			debug.SetMemoryLimit(int64(g.MemoryMB) << 20)
 		}
 	}
-	var side *secure.Side
+	t := &gate{p: p, share: share, budget: flow.NewBudget(g.Transfers.Options()), counts: p.gatewayCounts(g)}
 	if !g.Insecure {
 		var err error
-		if side, err = secure.Server(files(g.TLS), p.log); err != nil {
-			return fmt.Errorf("gateway.tls: %w", err)
+		if t.side, err = secure.Server(files(g.TLS), p.log); err != nil {
+			return nil, fmt.Errorf("gateway.tls: %w", err)
 		}
-		go side.Watch(p.work)
+		go t.side.Watch(p.work)
 	}
-	cores := map[string]*core.Core{}
-	counts := p.gatewayCounts(g)
-	for i := range g.Pools {
-		c, err := p.pool(g, &g.Pools[i], max(1, share.servers/len(g.Pools)), counts)
-		if err != nil {
-			return fmt.Errorf("gateway.pool[%s]: %w", g.Pools[i].Name, err)
+	plan, pools, err := t.build(g)
+	if err != nil {
+		return nil, err
+	}
+	t.front = gateway.New(plan)
+	t.conf = g
+	t.pools.Store(&pools)
+	p.ready = append(p.ready, t.ready)
+	l, err := p.listener(g.Listen, t.side)
+	if err != nil {
+		return nil, err
+	}
+	p.take(accept.NewStreams(l, t.front, share.clients, accept.Streams{Head: g.Head, Short: g.Short,
+		Wait: time.Duration(g.Wait), Idle: time.Duration(g.KeepAlive), Drain: time.Duration(g.Drain)}, p.log),
+		g.Listen, share.clients, t.side)
+	return t, nil
+}
+
+// ready reports whether some pool has a live server: others go on without one that has none.
+func (t *gate) ready() bool {
+	for _, c := range *t.pools.Load() {
+		if c.Ready() {
+			return true
 		}
-		cores[g.Pools[i].Name] = c
 	}
-	p.ready = append(p.ready, func() bool { // other pools go on without one that has nobody
-		for _, c := range cores {
-			if c.Ready() {
-				return true
-			}
+	return false
+}
+
+// build makes the parts of a configuration. Pools that are as those in use are used on. Nothing is changed by
+// it.
+func (t *gate) build(g *config.Gateway) (plan *gateway.Plan, pools map[string]*pool, err error) {
+	pools = map[string]*pool{}
+	defer func() {
+		if err != nil {
+			t.release(pools, t.pools.Load(), 0)
+		}
+	}()
+	for i := range g.Pools {
+		name := g.Pools[i].Name
+		if pools[name], err = t.pool(g, &g.Pools[i]); err != nil {
+			delete(pools, name)
+			return nil, pools, fmt.Errorf("gateway.pool[%s]: %w", name, err)
 		}
-		return false
-	})
-	o := gateway.Options{Routes: g.Table(), Budget: flow.NewBudget(g.Transfers.Options()), Trusted: g.Trust,
-		Draining: p.draining, Log: p.log}
+	}
+	o := gateway.Options{Routes: g.Table(), Budget: t.budget, Trusted: g.Trust, Draining: t.p.draining,
+		Log: t.p.log}
 	for i := range o.Routes {
-		o.Routes[i].Core = cores[g.Routes[i].Pool]
+		o.Routes[i].Core = pools[g.Routes[i].Pool].Core
 	}
-	if side != nil {
-		o.Trust = side.Trust
+	if t.side != nil {
+		o.Trust = t.side.Trust
 	}
-	if p.questions != nil {
-		o.Guard = p.questions.checks()
+	if t.p.questions != nil {
+		o.Guard = t.p.questions.checks()
 	}
-	front, err := gateway.New(o)
-	if err != nil {
-		return fmt.Errorf("gateway: %w", err)
+	if plan, err = gateway.NewPlan(o); err != nil {
+		return nil, pools, fmt.Errorf("gateway: %w", err)
 	}
-	l, err := p.listener(g.Listen, side)
-	if err != nil {
-		return err
+	return plan, pools, nil
+}
+
+// take goes by what was built of a configuration read again. Requests under way end at the pools that they
+// began at.
+func (t *gate) take(g *config.Gateway, plan *gateway.Plan, pools map[string]*pool) {
+	if kept := t.conf.Keep(g); len(kept) > 0 {
+		t.p.log.Warn().Str("code", "reload-needs-restart").Strs("settings", kept).Msg("changed, and not taken")
+	}
+	old := t.pools.Swap(&pools)
+	t.front.Use(plan)
+	t.conf = g
+	t.release(*old, &pools, retire)
+}
+
+// release ends, after a time, the pools that others have no use for.
+func (t *gate) release(pools map[string]*pool, others *map[string]*pool, after time.Duration) {
+	for name, c := range pools {
+		if others == nil || (*others)[name] != c {
+			time.AfterFunc(after, c.end)
+		}
 	}
-	p.take(accept.NewStreams(l, front, share.clients, accept.Streams{Head: g.Head, Short: g.Short,
-		Wait: time.Duration(
-			g.Wait,
-		), Idle: time.Duration(g.KeepAlive), Drain: time.Duration(g.Drain)}, p.log), g.Listen, share.clients, side)
-	return nil
 }
 
 // gatewayCounts is where the pools' cores count what customers use: at the counter, or here alone.
@@ -97,43 +159,45 @@
 	return client
 }
 
-// pool starts the core of a pool of app servers.
-func (p *program) pool(
-	g *config.Gateway,
-	pool *config.Pool,
-	connections int,
-	counts core.Counter,
-) (*core.Core,
-	error) {
+// pool starts the core of a pool of app servers, or takes the one that is there.
+func (t *gate) pool(g *config.Gateway, conf *config.Pool) (*pool, error) {
+	p, set := t.p, g.Settings(conf)
+	if old := t.pools.Load(); old != nil {
+		if c := (*old)[conf.Name]; c != nil && reflect.DeepEqual(c.conf, *conf) && reflect.DeepEqual(c.set, set) {
+			return c, nil
+		}
+	}
+	work, end := context.WithCancel(p.work)
 	dial := p.dial
-	if !pool.Insecure {
-		side, err := secure.Client(files(pool.TLS), p.log)
+	if !conf.Insecure {
+		side, err := secure.Client(files(conf.TLS), p.log)
 		if err != nil {
+			end()
 			return nil, err
 		}
-		go side.Watch(p.work)
+		go side.Watch(work)
 		dial = side.Dial(secure.Dialer(dial))
 	}
-	set := g.Settings(pool)
 	up := forward.New(forward.Config{Dial: dial, DialTimeout: set.DialTimeout, Log: p.log,
-		KeepAlive: time.Duration(pool.KeepAlive), Connections: connections, Stall: stall,
-		Streams: gateway.Judge(pool.Errors), Limits: http1.Limits{Head: answerHead}})
+		KeepAlive: time.Duration(conf.KeepAlive), Connections: max(1, t.share.servers/len(g.Pools)), Stall: stall,
+		Streams: gateway.Judge(conf.Errors), Limits: http1.Limits{Head: answerHead}})
 	c, err := core.New(core.Config{Settings: set, Seed: uint64(time.Now().UnixNano()), Upstream: up,
-		Counter: counts, Log: p.decision})
+		Counter: t.counts, Log: p.decision})
 	if err != nil {
+		end()
 		return nil, err
 	}
-	go c.Run(p.work)
-	if pool.Discovery != "" {
-		go discovery.NewWatcher(pool.Discovery, c.Servers, p.dial, p.log).Run(p.work, discovery.List{})
-		return c, nil
-	}
-	servers := make([]core.Server, 0, len(pool.Servers))
-	for _, addr := range pool.Servers {
-		servers = append(servers, core.Server{Name: addr, Addr: addr, Zone: g.Zone, State: choice.Live})
+	go c.Run(work)
+	if conf.Discovery != "" {
+		go discovery.NewWatcher(conf.Discovery, c.Servers, p.dial, p.log).Run(work, discovery.List{})
+	} else {
+		servers := make([]core.Server, 0, len(conf.Servers))
+		for _, addr := range conf.Servers {
+			servers = append(servers, core.Server{Name: addr, Addr: addr, Zone: g.Zone, State: choice.Live})
+		}
+		c.Servers(true, servers)
 	}
-	c.Servers(true, servers)
-	return c, nil
+	return &pool{c, *conf, set, end}, nil
 }
 
 // answerHead bounds the heads of app servers' answers, in bytes.
--- a/cmd/dunespoke/gateway_test.go
+++ b/cmd/dunespoke/gateway_test.go
@@ -1,12 +1,25 @@
 package main
 
 import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"dunespoke/internal/config"
+	"dunespoke/internal/lab/ca"
+	"dunespoke/internal/net/direct"
 )
 
 // gatewayConf has one app server at "app" and routes of each class; a withdrawal's body is never held.
@@ -419,3 +432,179 @@
 		client1 wait nothing
 	`)
 }
+
+// A file read again brings new routes and pools, keeps the pools that are as they were, and lets what is
+// under way end; one that can't be used changes nothing.
+func TestGatewayReload(t *testing.T) {
+	other := gatewayConf()
+	g := &other.Gateway
+	g.Short = 32 // needs a restart
+	g.Pools = append(g.Pools, config.Pool{Name: "new", Servers: []string{"newapp"}, Insecure: true,
+		KeepAlive: config.Duration(10 * time.Second), DialTimeout: config.Duration(time.Second), Attempts: 1})
+	g.Routes = append(g.Routes, config.Route{Path: "/new", Pool: "new", Class: "read", Plan: "basic",
+		Customer: "address", Units: 1, Spread: 1})
+	bad := gatewayConf()
+	bad.Gateway.Routes = append(bad.Gateway.Routes, bad.Gateway.Routes[0])
+	log := through(t, gatewayConf(), `
+		client1 send $g-get
+		app1 expect GET
+		app1 send HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello
+		client1 expect hello
+		client1 wait 1s
+		app1 send world
+		client1 expect world
+		client1 wait 10ms
+		client1 send GET /new HTTP/1.1\r\nHost: h\r\n\r\n
+		newapp expect GET /new
+		newapp send $g-ok
+		client1 expect money
+		client1 wait 1s
+		client1 send GET /new HTTP/1.1\r\nHost: h\r\n\r\n
+		newapp expect GET /new
+		newapp send $g-ok
+		client1 expect money
+	`, func(p *program) {
+		time.AfterFunc(500*time.Millisecond, func() { p.reloadOperator(&other, nil) })
+		time.AfterFunc(1500*time.Millisecond, func() { p.reloadOperator(&bad, nil) })
+	})
+	for _, want := range []string{`"reloaded"`, `"settings":["gateway.head and short"]`, `"reload-failed"`} {
+		if !strings.Contains(log, want) {
+			t.Errorf("no %s in the log:\n%s", want, log)
+		}
+	}
+}
+
+// A client that takes its answer too slowly is cut, and told from one whose server is slow.
+func TestGatewayBlamesTheSideThatIsSlow(t *testing.T) {
+	o := gatewayConf()
+	o.Gateway.Pace = config.Pace{Client: 1000, Server: 1000, Grace: config.Duration(2 * time.Second)}
+	log := through(t, o, `
+		client1 send $g-post$g-chunked5\r\nhello\r\n
+		app1 expect hello
+		client1 wait 3s
+		client1 expect 408
+		app1 wait closed
+		client2 send $g-get
+		app2 expect GET
+		app2 send HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello
+		client2 wait 3s
+		app2 wait closed
+		client2 expect hello
+		client2 wait closed
+	`)
+	for _, want := range []string{`"upload-cut"`, `"server-slow"`} {
+		if strings.Count(log, want) != 1 {
+			t.Errorf("%s is not once in the log:\n%s", want, log)
+		}
+	}
+}
+
+func TestGatewayBelievesOnlyTrustedProxies(t *testing.T) {
+	var got [2]string
+	for i, trusted := range []string{"10.0.0.0/8", "127.0.0.0/8"} {
+		app := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			got[i] = r.Header.Get("X-Forwarded-For") + " " + r.Header.Get("Forwarded")
+		}))
+		defer app.Close()
+		address := gatewayOn(t, app, func(g *config.Gateway) {
+			g.Trust = []netip.Prefix{netip.MustParsePrefix(trusted)}
+		})
+		q, _ := http.NewRequest("GET", "http://"+address+"/", nil)
+		q.Host, q.Header = "h", http.Header{"X-Account": {"1"}, "X-Forwarded-For": {"192.0.2.1"},
+			"Forwarded": {"for=192.0.2.1"}}
+		r, err := http.DefaultClient.Do(q)
+		if err != nil || r.StatusCode != 200 {
+			t.Fatal(err, r)
+		}
+		r.Body.Close()
+	}
+	const own = `for=127.0.0.1;host="h";proto=http`
+	if want := [2]string{"127.0.0.1 " + own, "192.0.2.1, 127.0.0.1 for=192.0.2.1, " + own}; got != want {
+		t.Errorf("%q", got)
+	}
+}
+
+// gatewayOn runs a gateway before an app server on loopback, and returns its address.
+func gatewayOn(t testing.TB, app *httptest.Server, set func(*config.Gateway)) string {
+	o := gatewayConf()
+	g := &o.Gateway
+	g.Listen, g.Plans[0].Rate = "127.0.0.1:0", 0
+	g.Pools[0].Servers = []string{app.Listener.Addr().String()}
+	g.Transfers.Bytes, g.Transfers.Window = 1<<20, 64<<10
+	set(g)
+	ctx, end := context.WithCancel(context.Background())
+	t.Cleanup(end)
+	addr := make(chan string, 1)
+	p := &program{log: zerolog.Nop(), dial: direct.Dial, work: ctx, failed: make(chan error, 4)}
+	p.listen = func(network, at string) (net.Listener, error) {
+		l, err := direct.Listen(network, at)
+		if err == nil {
+			addr <- l.Addr().String()
+		}
+		return l, err
+	}
+	if err := p.start(nil, o); err != nil {
+		t.Fatal(err)
+	}
+	return <-addr
+}
+
+// By TLS on both sides, a client's certificate says whose quota is used.
+func TestGatewayByTLS(t *testing.T) {
+	authority, err := ca.New(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	pairs := map[string]tls.Certificate{}
+	for _, name := range []string{"localhost", "ann", "bob"} {
+		p, err := authority.Issue(name, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if pairs[name], err = tls.LoadX509KeyPair(p.Cert, p.Key); err != nil {
+			t.Fatal(err)
+		}
+		if name == "localhost" {
+			pairs["files"] = tls.Certificate{Certificate: [][]byte{[]byte(p.Cert), []byte(p.Key)}}
+		}
+	}
+	text, err := os.ReadFile(authority.Root())
+	if err != nil {
+		t.Fatal(err)
+	}
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(text)
+	app := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, r.Header.Get("X-Forwarded-Proto"))
+	}))
+	app.TLS = &tls.Config{Certificates: []tls.Certificate{pairs["localhost"]}}
+	app.StartTLS()
+	defer app.Close()
+	files := pairs["files"].Certificate
+	address := gatewayOn(t, app, func(g *config.Gateway) {
+		g.Insecure, g.TLS = false, config.TLS{Cert: string(files[0]), Key: string(files[1]), CA: authority.Root()}
+		g.Pools[0].Insecure, g.Pools[0].TLS = false, config.TLS{CA: authority.Root(), Name: "localhost"}
+		g.Plans[0].Rate, g.Plans[0].Burst = 0.001, 1
+		g.Routes[0].Customer = "certificate"
+	})
+	for i, c := range []struct {
+		who  string
+		want int
+	}{{"ann", 200}, {"ann", 429}, {"bob", 200}, {"", 400}} {
+		conf := &tls.Config{RootCAs: roots, ServerName: "localhost"}
+		if c.who != "" {
+			conf.Certificates = []tls.Certificate{pairs[c.who]}
+		}
+		client := http.Client{Transport: &http.Transport{TLSClientConfig: conf}}
+		r, err := client.Get("https://" + address + "/")
+		if err != nil {
+			t.Fatal(i, err)
+		}
+		body, _ := io.ReadAll(r.Body)
+		r.Body.Close()
+		client.CloseIdleConnections()
+		if r.StatusCode != c.want || c.want == 200 && string(body) != "https" {
+			t.Errorf("%d, %q: %d %s", i, c.who, r.StatusCode, body)
+		}
+	}
+}
--- a/cmd/dunespoke/scenario_test.go
+++ b/cmd/dunespoke/scenario_test.go
@@ -84,7 +84,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := scenario.NewNet()
 		ctx, end := context.WithCancel(t.Context())
-		for _, addr := range []string{"app", "counter", "discovery", "idp", "newcounter", "newdiscovery"} {
+		for _, addr := range strings.Fields("app counter discovery idp newapp newcounter newdiscovery") {
 			n.Listen("memory", addr)
 		}
 		p := &program{log: zerolog.New(&log), listen: n.Listen, dial: n.Dial, work: ctx,
--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -18,6 +18,7 @@
 	"dunespoke/agentcheck"
 	"dunespoke/choice"
 	"dunespoke/core"
+	"dunespoke/front/gateway"
 	"dunespoke/front/platform"
 	"dunespoke/internal/config"
 	"dunespoke/internal/http1"
@@ -45,6 +46,7 @@
 	counters []mover // of the platform's counter
 
 	questions *questions // nil without the front for token introspection
+	gate      *gate      // nil without the general HTTP front
 	guarded   bool       // the platform's requests pass a guard that may ask for tokens
 }
 
@@ -104,20 +106,51 @@
 
 // reloadOperator takes an operator's file as read again, whole or not at all; or the error of that.
 func (p *program) reloadOperator(o *config.Operator, err error) {
-	if err == nil && p.questions != nil {
-		err = p.questions.reload(&o.Introspection)
+	if err == nil {
+		err = p.retake(o)
 	}
 	switch {
 	case err != nil:
 		p.log.Warn().Str("code", "reload-failed").Err(err).Msg("the operator's settings stay as they were")
-	case p.questions == nil:
+	case p.questions == nil && p.gate == nil:
 		p.log.Warn().Str("code", "reload-needs-restart").Msg("nothing of the operator's file that is on can change")
 	default:
 		p.log.Info().Str("code", "reloaded").Int("issuers", len(o.Introspection.Issuers)).
-			Int("clients", len(o.Introspection.Clients)).Msg("operator's file read again")
+			Int("clients", len(o.Introspection.Clients)).Int("routes", len(o.Gateway.Routes)).
+			Msg("operator's file read again")
 	}
 }
 
+// errOff is the error of a file without a front that runs.
+var errOff = errors.New("gateway is switched off in it: that needs a restart")
+
+// retake goes by an operator's file read again: all of it, or nothing.
+func (p *program) retake(o *config.Operator) error {
+	var plan *gateway.Plan
+	var pools map[string]*pool
+	if t := p.gate; t != nil {
+		if !o.Gateway.On() {
+			return errOff
+		}
+		var err error
+		if plan, pools, err = t.build(&o.Gateway); err != nil {
+			return err
+		}
+	}
+	if p.questions != nil {
+		if err := p.questions.reload(&o.Introspection); err != nil {
+			if p.gate != nil {
+				p.gate.release(pools, p.gate.pools.Load(), 0)
+			}
+			return err
+		}
+	}
+	if p.gate != nil {
+		p.gate.take(&o.Gateway, plan, pools)
+	}
+	return nil
+}
+
 // reload takes the platform's configuration as read again, or the error of that, and goes on at the addresses
 // of discovery and the counter that it names. A file that can't be used changes nothing. All that is kept or
 // under way stays as it is.
@@ -175,9 +208,11 @@
 		}
 	}
 	if operator.Gateway.On() {
-		if err := p.gateway(&operator.Gateway, share); err != nil {
+		t, err := p.startGateway(&operator.Gateway, share)
+		if err != nil {
 			return err
 		}
+		p.gate = t
 	}
 	return p.agent(operator.Agent)
 }
--- a/front/gateway/customer.go
+++ b/front/gateway/customer.go
@@ -63,7 +63,7 @@
 )
 
 // read finds the customer's name. That of a claim is found later.
-func (s Source) read(f *Front, x *accept.Exchange, vars map[string]string) (string, error) {
+func (s Source) read(f *plan, x *accept.Exchange, vars map[string]string) (string, error) {
 	switch s.Kind {
 	case Header:
 		if all := x.Header.Values(s.Name); len(all) == 1 && all[0] != "" {
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,7 +26,7 @@
 	"dunespoke/internal/routes"
 )
 
-// Options are what New needs.
+// Options are what a plan is made of.
 type Options struct {
 	Routes   []Route
 	Budget   *flow.Budget   // of long bodies
@@ -64,13 +65,37 @@
 
 // Front answers clients. It is an accept.Streamer.
 type Front struct {
+	now   atomic.Pointer[plan]
+	start time.Time
+}
+
+// New returns a front that goes by a plan.
+func New(p *Plan) *Front {
+	f := &Front{start: time.Now()}
+	f.Use(p)
+	return f
+}
+
+// Use has the requests that come from now on go by another plan.
+func (f *Front) Use(p *Plan) { f.now.Store(&plan{p, f.start}) }
+
+// Stream takes a request of a client.
+func (f *Front) Stream(x *accept.Exchange) (leave func()) { return f.now.Load().stream(x) }
+
+// Plan is what a front goes by.
+type Plan struct {
 	Options
 	table *routes.Table
+}
+
+// plan is one in use.
+type plan struct {
+	*Plan
 	start time.Time
 }
 
-// New returns a front, or names the route that makes no sense.
-func New(o Options) (*Front, error) {
+// NewPlan returns a plan, or names the route that makes no sense.
+func NewPlan(o Options) (*Plan, error) {
 	list := make([]routes.Route, len(o.Routes))
 	for i, r := range o.Routes {
 		list[i] = r.Route
@@ -86,13 +111,12 @@
 		return nil, err
 	}
 	o.Log = o.Log.Sample(&zerolog.BurstSampler{Burst: 20, Period: time.Second})
-	return &Front{o, table, time.Now()}, nil
+	return &Plan{o, table}, nil
 }
 
-func (f *Front) clock() time.Duration { return time.Since(f.start) }
+func (f *plan) clock() time.Duration { return time.Since(f.start) }
 
-// Stream takes a request of a client.
-func (f *Front) Stream(x *accept.Exchange) (leave func()) {
+func (f *plan) stream(x *accept.Exchange) (leave func()) {
 	route, vars, problem := f.route(x)
 	if problem != nil {
 		x.Answer(problem)
@@ -133,7 +157,7 @@
 }
 
 // guarded has the token checked first, and counts by what it claims where the route says so.
-func (f *Front) guarded(x *accept.Exchange, route *Route, in core.Request, who string) (leave func()) {
+func (f *plan) guarded(x *accept.Exchange, route *Route, in core.Request, who string) (leave func()) {
 	g := &relay.Relay{}
 	g.First(f.Guard.Require(&http1.Request{Request: x.Request, Peer: x.Peer}, in, route.Require,
 		func(c bearer.Claims, a *http1.Answer) {
@@ -154,7 +178,7 @@
 }
 
 // route finds a request's route, or the answer of one that has none.
-func (f *Front) route(x *accept.Exchange) (*Route, map[string]string, *http1.Answer) {
+func (f *plan) route(x *accept.Exchange) (*Route, map[string]string, *http1.Answer) {
 	switch x.Method {
 	case http.MethodConnect, http.MethodTrace:
 		return nil, nil, http1.Plain(http.StatusNotImplemented, "not a method for here")
@@ -190,7 +214,7 @@
 }
 
 // reply hands a final answer on. left is what the request had left of its time.
-func (f *Front) reply(x *accept.Exchange, left time.Duration, a core.Answer) {
+func (f *plan) reply(x *accept.Exchange, left time.Duration, a core.Answer) {
 	switch {
 	case a.Kind == core.Served:
 		x.Pass(a.Body.(*transfer.Reply))
@@ -204,7 +228,7 @@
 }
 
 // later is an answer that says when to come back, in whole seconds.
-func (f *Front) later(status int, text string, after time.Duration) *http1.Answer {
+func (f *plan) later(status int, text string, after time.Duration) *http1.Answer {
 	a := http1.Plain(status, text)
 	if after > 0 {
 		seconds := strconv.Itoa(int(math.Ceil(after.Seconds())))
--- a/front/gateway/headers.go
+++ b/front/gateway/headers.go
@@ -38,13 +38,13 @@
 func join(all []string) string { return strings.Join(all, ", ") }
 
 // trusted reports whether a peer's word on whom it speaks for is taken.
-func (f *Front) trusted(at netip.Addr) bool {
+func (f *plan) trusted(at netip.Addr) bool {
 	return slices.ContainsFunc(f.Trusted, func(p netip.Prefix) bool { return p.Contains(at) })
 }
 
 // address is the client's: the peer's own, or, where that is a trusted proxy, the last one before all trusted
 // ones that X-Forwarded-For names.
-func (f *Front) address(r *http.Request, peer net.Addr) netip.Addr {
+func (f *plan) address(r *http.Request, peer net.Addr) netip.Addr {
 	at := addressOf(peer)
 	if !f.trusted(at) {
 		return at
@@ -63,7 +63,7 @@
 }
 
 // forwarded tells the servers for whom this program speaks, by RFC 7239 and by the names used before it.
-func (f *Front) forwarded(x *accept.Exchange, h http.Header) {
+func (f *plan) forwarded(x *accept.Exchange, h http.Header) {
 	at := addressOf(x.Peer)
 	proto := "http"
 	if x.TLS != nil {
@@ -102,7 +102,7 @@
 const via = "1.1 dunespoke"
 
 // head writes a request's head as the servers are to get it.
-func (f *Front) head(x *accept.Exchange, r *Route) []byte {
+func (f *plan) head(x *accept.Exchange, r *Route) []byte {
 	h := x.Header
 	trailers := false
 	for _, line := range h["Te"] {
--- a/front/gateway/message.go
+++ b/front/gateway/message.go
@@ -21,7 +21,7 @@
 	terms  *transfer.Terms
 }
 
-func (f *Front) message(x *accept.Exchange, r *Route) *message {
+func (f *plan) message(x *accept.Exchange, r *Route) *message {
 	return &message{f.head(x, r), x.Method, x.Upload, &r.Terms}
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -26,6 +26,13 @@
 	if err != nil || !o.Introspection.On() || o.Introspection.Bearer.Plan != "" {
 		t.Errorf("%+v, %v", o, err)
 	}
+	o, err = ReadOperator("../../deploy/gateway.toml", env(nil))
+	if err != nil || !o.Gateway.On() || o.Introspection.On() || o.Gateway.Table()[0].Patience != 5*time.Second {
+		t.Errorf("%+v, %v", o, err)
+	}
+	if bound := o.Gateway.Bound(684, 292); bound > o.Gateway.MemoryMB<<20 {
+		t.Errorf("the shown file's connections may take %d bytes", bound)
+	}
 }
 
 func TestBadSettingsAreNamed(t *testing.T) {
@@ -60,11 +67,7 @@
 }
 
 func TestBadOperatorsFilesAreNamed(t *testing.T) {
-	good, err := os.ReadFile("../../deploy/introspection.toml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for change, want := range map[[2]string]string{
+	wantFaults(t, "../../deploy/introspection.toml", map[[2]string]string{
 		{`servers = ["127.0.0.1:8801"]`, `servers = []`}:  "nobody to ask",
 		{`plan = ""  `, `plan = "gold"`}:                  `no plan "gold"`,
 		{`plan = "member"`, `plan = "silver"`}:            `no plan "silver"`,
@@ -72,13 +75,44 @@
 		{`secret_env = ""`, `secret_env = "NOT_SET"`}:     "NOT_SET is not set",
 		{`patience = "3s"`, `patience = "-3s"`}:           "must not be negative",
 		{`gateways = 1`, "gateways = 1\nsurprise = true"}: "introspection.surprise: unknown key",
-	} {
+	})
+	wantFaults(t, "../../deploy/gateway.toml", map[[2]string]string{
+		{`insecure = true`, ``}:                                   "cert_file and key_file are needed",
+		{`trusted = []`, `trusted = ["10.0.0.1"]`}:                "gateway.trusted",
+		{`least = 4096`, `least = 0`}:                             "gateway.transfers",
+		{`client = 0.0`, "client = -1.0"}:                         "gateway.pace: rates",
+		{`servers = ["127.0.0.1:8811"]`, ``}:                      "gateway.pool[apps]: want servers",
+		{`errors = [503]`, `errors = [404]`}:                      "gateway.pool[apps].errors",
+		{`repeat = "safe" `, `repeat = "often"`}:                  "gateway.class[read]",
+		{`rate = 50.0`, `rate = -1.0`}:                            "gateway.plan[member]",
+		{`name = "member"`, `name = "guest"`}:                     `plan "member" is not there`,
+		{`customer = "address"`, `customer = "path:id"`}:          "the path has no {id}",
+		{`customer = "address"`, `customer = "claim:sub"`}:        "a claim needs token = true",
+		{`customer = "address"`, `customer = "certificate"`}:      "needs gateway.tls",
+		{`customer = "address"`, `customer = "name"`}:             "want address, certificate",
+		{`path = "/up"`, `path = "/down"` + "\n" + `long = true`}: "",
+		{`methods = ["PUT", "POST"]`, `methods = ["put"]`}:        "a method is capital letters",
+		{`path = "/down"`, `path = "/{rest...}"`}:                 "can't be told from route 1",
+		{`units = 5.0`, "replay = 100000"}:                        "replay",
+		{`units = 5.0`, "token = true"}:                           "nobody checks tokens",
+	})
+}
+
+// wantFaults changes a good file, and wants each change to be named; none where nothing is wanted.
+func wantFaults(t *testing.T, file string, changes map[[2]string]string) {
+	t.Helper()
+	good, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for change, want := range changes {
 		text := strings.Replace(string(good), change[0], change[1], 1)
 		path := filepath.Join(t.TempDir(), "operator.toml")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := ReadOperator(path, env(nil)); err == nil || !strings.Contains(err.Error(), want) {
+		_, err := ReadOperator(path, env(nil))
+		if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
 			t.Errorf("%q for %q: %v, want %q", change[1], change[0], err, want)
 		}
 	}
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -315,7 +315,28 @@
 	return s
 }
 
-// Front are the front's routes, on the cores of their pools.
+// Keep keeps in a configuration read again what only a restart takes, and names what differs.
+func (g *Gateway) Keep(read *Gateway) (kept []string) {
+	keep := func(name string, same bool, restore func()) {
+		if !same {
+			kept = append(kept, atGateway+name)
+			restore()
+		}
+	}
+	keep("listen, insecure and tls", g.Listen == read.Listen && g.Insecure == read.Insecure && g.TLS == read.TLS,
+		func() { read.Listen, read.Insecure, read.TLS = g.Listen, g.Insecure, g.TLS })
+	keep("head and short", g.Head == read.Head && g.Short == read.Short,
+		func() { read.Head, read.Short = g.Head, g.Short })
+	keep("wait, keep_alive and drain",
+		g.Wait == read.Wait && g.KeepAlive == read.KeepAlive && g.Drain == read.Drain,
+		func() { read.Wait, read.KeepAlive, read.Drain = g.Wait, g.KeepAlive, g.Drain })
+	keep("sockets and memory_mb", g.Sockets == read.Sockets && g.MemoryMB == read.MemoryMB,
+		func() { read.Sockets, read.MemoryMB = g.Sockets, g.MemoryMB })
+	keep("transfers", g.Transfers == read.Transfers, func() { read.Transfers = g.Transfers })
+	keep("counter", g.Counter == read.Counter, func() { read.Counter = g.Counter })
+	return kept
+}
+
 func (g *Gateway) class(name string) *Class {
 	i := slices.IndexFunc(g.Classes, func(c Class) bool { return c.Name == name })
 	return &g.Classes[i]
--- a/internal/net/forward/stream.go
+++ b/internal/net/forward/stream.go
@@ -333,7 +333,6 @@
 		from := side
 		if !x.stream.up.Ended() { // it may wait for the rest of the request
 			from = free
-			c.nc.SetReadDeadline(time.Time{})
 		}
 		if plain > 0 { // and not what comes behind the body
 			into = into[:plain]
--- a/internal/net/transfer/side.go
+++ b/internal/net/transfer/side.go
@@ -22,14 +22,15 @@
 type Side struct {
 	Conn  net.Conn
 	watch *flow.Watch
+	pace  flow.Pace
 	start time.Time
-	paced bool
+	due   time.Duration // of the deadline that is set
 	moved atomic.Int64
 }
 
 // NewSide returns a side that nobody waits for yet.
 func NewSide(nc net.Conn, p flow.Pace) *Side {
-	return &Side{Conn: nc, watch: flow.NewWatch(p), start: time.Now(), paced: p != (flow.Pace{})}
+	return &Side{Conn: nc, watch: flow.NewWatch(p), pace: p, start: time.Now()}
 }
 
 // SlowError is the error of a side that was too slow.
@@ -40,19 +41,37 @@
 
 func (s *Side) now() time.Duration { return time.Since(s.start) }
 
+// wait begins to wait for this side, and tells the deadline that is to be set; ok is false if the one that is
+// set will do. To set one for each piece shows in the CPU of long bodies (0.97 of ReverseProxy's with, 0.91
+// without), so that where only standing still counts, it is set for half as long again, and anew when it
+// comes nearer than it may.
+func (s *Side) wait() (due time.Time, ok bool) {
+	now := s.now()
+	s.watch.Wait(now)
+	at, _ := s.watch.Due()
+	if s.pace.Least == 0 {
+		if s.due >= at {
+			return time.Time{}, false
+		}
+		at += s.pace.Stall / 2
+	}
+	s.due = at
+	return s.start.Add(at), true
+}
+
 // Bytes tells how many have moved. It may be called by any goroutine.
 func (s *Side) Bytes() int64 { return s.moved.Load() }
 
 // Read reads what comes. A side that is too slow gives a *SlowError.
 func (s *Side) Read(p []byte) (int, error) {
-	if !s.paced {
+	if s.pace == (flow.Pace{}) {
 		n, err := s.Conn.Read(p)
 		s.moved.Add(int64(n))
 		return n, err
 	}
-	s.watch.Wait(s.now())
-	due, _ := s.watch.Due()
-	s.Conn.SetReadDeadline(s.start.Add(due))
+	if due, ok := s.wait(); ok {
+		s.Conn.SetReadDeadline(due)
+	}
 	n, err := s.Conn.Read(p)
 	now := s.now()
 	if n == 0 && timeout(err) {
@@ -67,15 +86,15 @@
 
 // Write writes all, or tells why not.
 func (s *Side) Write(p []byte) error {
-	if !s.paced {
+	if s.pace == (flow.Pace{}) {
 		n, err := s.Conn.Write(p)
 		s.moved.Add(int64(n))
 		return err
 	}
 	for len(p) > 0 {
-		s.watch.Wait(s.now())
-		due, _ := s.watch.Due()
-		s.Conn.SetWriteDeadline(s.start.Add(due))
+		if due, ok := s.wait(); ok {
+			s.Conn.SetWriteDeadline(due)
+		}
 		n, err := s.Conn.Write(p)
 		now := s.now()
 		if n == 0 && timeout(err) {
