--- a/cmd/dunelab/graph.go
+++ b/cmd/dunelab/graph.go
@@ -45,3 +45,22 @@
 	}
 	return p.Save(14*vg.Centimeter, 9*vg.Centimeter, path)
 }
+
+// saveBars writes a plot of bars: for each name of a group one, a colour for each program.
+func saveBars(path, title, y string, groups []string, programs []string, values map[string][]float64) error {
+	p := plot.New()
+	p.Title.Text, p.Y.Label.Text, p.Y.Min = title, y, 0
+	p.Legend.Top = true
+	width := vg.Points(25)
+	for i, name := range programs {
+		bars, err := plotter.NewBarChart(plotter.Values(values[name]), width)
+		if err != nil {
+			return err
+		}
+		bars.Color, bars.Offset = plotutil.Color(i), width*vg.Length(float64(i)-float64(len(programs)-1)/2)
+		p.Add(bars)
+		p.Legend.Add(name, bars)
+	}
+	p.NominalX(groups...)
+	return p.Save(14*vg.Centimeter, 9*vg.Centimeter, path)
+}
--- a/cmd/dunelab/streaming.go
+++ b/cmd/dunelab/streaming.go
@@ -347,6 +347,8 @@
 	fmt.Println("\n| program | down, 64 MB bodies, s/GB | up, s/GB | 4 KB answers, µs each |")
 	fmt.Println("|---|---|---|---|")
 	const rounds = 3
+	var names []string
+	sums := map[string][]float64{}
 	for range rounds {
 		for _, begin := range all {
 			p, err := begin()
@@ -371,9 +373,17 @@
 			}
 			p.end()
 			fmt.Printf("| %s | %.2f | %.2f | %.0f |\n", p.name, used[0], used[1], used[2]/10000*1e6)
+			if sums[p.name] == nil {
+				names = append(names, p.name)
+				sums[p.name] = make([]float64, len(used))
+			}
+			for i, s := range used {
+				sums[p.name][i] += s / rounds
+			}
 		}
 	}
-	return nil
+	return saveBars(filepath.Join(c.Out, "streaming-cpu.svg"), "CPU, mean of three rounds", "seconds",
+		[]string{"a GB down", "a GB up", "10,000 small"}, names, sums)
 }
 
 // bulk moves a GB in 16 bodies of 64 MB, four at a time.
@@ -401,8 +411,9 @@
 func (c *streamingCommand) latency(ctx context.Context, all []starter) error {
 	fmt.Println("\n| program | requests a second | p50, ms | p99, ms | served | memory, MB |")
 	fmt.Println("|---|---|---|---|---|---|")
+	g := newGraph("Small requests, 2,500 a second", "quantile, %", "ms")
 	direct := func() (*process, error) { return &process{name: "no ingress", url: "http://127.0.0.1:8811"}, nil }
-	for range 2 {
+	for round := range 2 {
 		for _, begin := range append([]starter{direct}, all...) {
 			p, err := begin()
 			if err != nil {
@@ -420,13 +431,16 @@
 				fmt.Printf("| %s | %.0f | %.2f | %.2f | %d of %d | %.1f |\n", p.name, rate,
 					float64(s.Took.ValueAtQuantile(50))/1000, float64(s.Took.ValueAtQuantile(99))/1000, s.Served,
 					s.Asked, mb)
+				if round == 1 && rate == 2500 {
+					g.line(p.name).quantiles(s)
+				}
 			}
 			if p.cmd != nil {
 				p.end()
 			}
 		}
 	}
-	return nil
+	return g.save(filepath.Join(c.Out, "streaming-latency.svg"))
 }
 
 // beside measures small requests alone, and beside 500 transfers.
@@ -461,12 +475,16 @@
 			}
 			fmt.Printf("| %s | %d transfers | %.2f | %.2f | %d of %d |\n", p.name, beside,
 				float64(s.Took.ValueAtQuantile(50))/1000, float64(s.Took.ValueAtQuantile(99))/1000, s.Served, s.Asked)
-			line := g.line(fmt.Sprintf("%s, %d transfers", p.name, beside))
-			for q := 1.0; q < 99.5; q++ {
-				line.add(q, float64(s.Took.ValueAtQuantile(q))/1000)
-			}
+			g.line(fmt.Sprintf("%s, %d transfers", p.name, beside)).quantiles(s)
 		}
 		p.end()
 	}
 	return g.save(filepath.Join(c.Out, "streaming-beside.svg"))
 }
+
+// quantiles draws how long small requests took.
+func (l *graphLine) quantiles(s *unlike.Small) {
+	for q := 1.0; q < 99.5; q++ {
+		l.add(q, float64(s.Took.ValueAtQuantile(q))/1000)
+	}
+}
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -115,16 +115,18 @@
 		Grace: Duration(10 * time.Second)}
 }
 
-// What a connection takes at the most beside its transfer: buffers, stacks and what the runtime holds of it,
-// in bytes. Measured with 2,000 at a time (docs/measurements/streaming.md).
+// What the program takes at rest, and a connection beside its transfer at the most: buffers, stacks and
+// what the runtime holds of it, in bytes. 2,000 transfers took 41 KiB each, with both connections and the
+// windows (docs/measurements/streaming.md).
 const (
+	restBytes   = 16 << 20
 	clientBytes = 32 << 10
 	serverBytes = 32 << 10
 )
 
-// Bound is the memory that connections and transfers may take, in bytes.
+// Bound is the memory that the program may take, in bytes.
 func (g *Gateway) Bound(clients, servers int) int {
-	return clients*(clientBytes+g.Short+g.Head) + servers*serverBytes + g.Transfers.Bytes
+	return restBytes + clients*(clientBytes+g.Short+g.Head) + servers*serverBytes + g.Transfers.Bytes
 }
 
 const atGateway = "gateway."
@@ -345,13 +347,20 @@
 // Table are the front's routes; their cores are to be filled in.
 func (g *Gateway) Table() []gateway.Route {
 	all := make([]gateway.Route, len(g.Routes))
+	pools := map[string]map[string]bool{} // by plan: to each other, cores that share a quota are ingresses
+	for _, r := range g.Routes {
+		if pools[r.Plan] == nil {
+			pools[r.Plan] = map[string]bool{}
+		}
+		pools[r.Plan][r.Pool] = true
+	}
 	for i := range g.Routes {
 		r := &g.Routes[i]
 		head := time.Duration(g.class(r.Class).Deadline)
 		pace := cmp.Or(r.Pace, &g.Pace)
 		source, _ := gateway.ParseSource(r.Customer) // checked
 		all[i] = gateway.Route{Route: r.Matches(), Class: r.Class, Patience: head, Plan: r.Plan,
-			Customer: source, Units: r.Units, Spread: r.Spread * len(g.Pools), Host: r.SetHost, Long: r.Long,
+			Customer: source, Units: r.Units, Spread: r.Spread * len(pools[r.Plan]), Host: r.SetHost, Long: r.Long,
 			Replay: r.Replay, Upload: time.Duration(r.Upload), Terms: pace.Terms(head), Token: r.Token,
 			Require: r.Require.Rules()}
 	}
--- a/internal/net/accept/stream.go
+++ b/internal/net/accept/stream.go
@@ -78,6 +78,8 @@
 // Hold holds the exchange to terms, and, where the room is not nil, moves its bodies by that. Up to replay
 // bytes of a body to come are held to be sent again. It is for the Streamer to call, before it returns.
 func (x *Exchange) Hold(t *transfer.Terms, room *flow.Transfer, replay int, clock func() time.Duration) {
+	x.c.mu.Lock()
+	defer x.c.mu.Unlock()
 	x.terms, x.room, x.clock = t, room, clock
 	if x.Long {
 		x.Upload = transfer.Coming(x.Upload.Length(), room, replay)
@@ -229,6 +231,9 @@
 	c.mu.Lock()
 	x.leave = leave
 	gone := c.ended
+	if gone { // before it was known what the exchange holds
+		c.settle(x)
+	}
 	c.mu.Unlock()
 	if gone && leave != nil {
 		leave()
@@ -370,6 +375,9 @@
 			c.drop()
 			return false
 		case c.x != x:
+			if c.pieces.Buffered() > 0 {
+				c.begun = time.Now()
+			}
 			c.mu.Unlock()
 			return true
 		}
--- a/internal/net/forward/stream.go
+++ b/internal/net/forward/stream.go
@@ -58,12 +58,14 @@
 }
 
 // headCame notes that an answer's head is here, and returns the reply that was handed out before, if one was.
-func (s *streaming) headCame() *transfer.Reply {
+// ok is false if the attempt has failed meanwhile.
+func (s *streaming) headCame() (reply *transfer.Reply, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	ok = !s.answered
 	s.answered = true
 	s.due.Store(0)
-	return s.reply
+	return s.reply, ok
 }
 
 // expect gives the answer's head so long to come, unless it is here.
@@ -250,7 +252,10 @@
 // move passes an answer on, from its head to its end, if it is wanted. It reports whether the connection can
 // be used on.
 func (c *conn) move(x *exchange, r *http.Response, buf []byte) bool {
-	reply := x.stream.headCame()
+	reply, ok := x.stream.headCame()
+	if !ok {
+		return false
+	}
 	if code := c.f.Streams(r); code != choice.OK && reply == nil {
 		c.finish(core.Result{Code: code}, "answer-not-passed")
 		return false
