--- a/cmd/dunelab/main.go
+++ b/cmd/dunelab/main.go
@@ -45,15 +45,9 @@
 
 // Run plays the server until told to stop.
 func (c *idpCommand) Run(ctx context.Context) error {
-	var script faults.Script
-	if c.Script != "" {
-		text, err := os.ReadFile(c.Script)
-		if err != nil {
-			return err
-		}
-		if script, err = faults.Parse(string(text)); err != nil {
-			return err
-		}
+	script, err := readScript(c.Script)
+	if err != nil {
+		return err
 	}
 	_, end, err := startIdp(c.Listen, idp.Options{Script: script, Work: c.Work, Workers: c.Workers})
 	if err != nil {
@@ -65,6 +59,18 @@
 	return nil
 }
 
+// readScript reads the script of faults in a file; without one, all is well.
+func readScript(path string) (faults.Script, error) {
+	if path == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return faults.Parse(string(text))
+}
+
 // startIdp plays an authorization server at a loopback address.
 func startIdp(addr string, o idp.Options) (s *idp.Server, end func(), err error) {
 	end, err = serve(addr, func(addr string) (http.Handler, error) {
--- a/cmd/dunelab/streaming.go
+++ b/cmd/dunelab/streaming.go
@@ -16,7 +16,6 @@
 	"syscall"
 	"time"
 
-	"dunespoke/internal/lab/faults"
 	"dunespoke/internal/lab/origin"
 	"dunespoke/internal/lab/unlike"
 )
@@ -29,15 +28,9 @@
 
 // Run plays an app server that streams, until told to stop.
 func (c *originCommand) Run(ctx context.Context) error {
-	var script faults.Script
-	if c.Script != "" {
-		text, err := os.ReadFile(c.Script)
-		if err != nil {
-			return err
-		}
-		if script, err = faults.Parse(string(text)); err != nil {
-			return err
-		}
+	script, err := readScript(c.Script)
+	if err != nil {
+		return err
 	}
 	return serveUntil(ctx, c.Listen, origin.New(origin.Options{Script: script, Work: c.Work}))
 }
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -195,3 +195,58 @@
 		t.Errorf("next in %d, want 20 and nothing before", at)
 	}
 }
+
+// After an attempt without which no other can be made, the request fails, though it may run again.
+func TestNoFurtherAttemptAfterAFinalOne(t *testing.T) {
+	for final, want := range map[bool]int{false: 2, true: 1} {
+		withCore(t, false, func(t *testing.T, b *bench) {
+			b.ask("read", time.Second)
+			b.up.started[0].End(Result{Code: choice.Refused, Final: final})
+			if final {
+				b.want(t, want, "2 <nil>")
+			} else {
+				b.want(t, want)
+			}
+		})
+	}
+}
+
+// What nobody wants is dropped, once: an answer after the client has left, or after the attempt's time.
+func TestUnwantedAnswersAreDropped(t *testing.T) {
+	withCore(t, false, func(t *testing.T, b *bench) {
+		dropped := 0
+		ok := Result{Code: choice.OK, Body: "late", Drop: func() { dropped++ }}
+		ticket := b.ask("pay", time.Second)
+		ticket.Leave()
+		synctest.Wait()
+		b.up.started[0].End(ok)
+		b.want(t, 1)
+		b.ask("pay", time.Second)
+		time.Sleep(1100 * time.Millisecond)
+		b.up.started[1].End(ok)
+		b.want(t, 2, "2 <nil>")
+		b.ask("pay", time.Second)
+		b.up.started[2].End(ok)
+		b.want(t, 3, "2 <nil>", "0late")
+		if dropped != 2 {
+			t.Errorf("%d dropped", dropped)
+		}
+	})
+}
+
+// Timers of what was answered don't wait for their time.
+func TestAnsweredRequestsAreForgotten(t *testing.T) {
+	var all timers
+	over := true
+	for i := range 10_000 {
+		all.add(time.Duration(i)*time.Hour, &over, func() {})
+	}
+	live := false
+	all.add(time.Hour, &live, func() {})
+	if n := len(all.heap); n > 2*sweepLeast {
+		t.Errorf("%d timers are held", n)
+	}
+	if at, ok := all.next(); at != time.Hour || !ok {
+		t.Errorf("the next at %v, %v", at, ok)
+	}
+}
