--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -30,7 +30,7 @@
 	KeepAlive Duration  `toml:"keep_alive"` // of clients' connections, while there are enough
 	Drain     Duration  `toml:"drain"`      // for which transfers may go on after SIGTERM
 	Sockets   int       `toml:"sockets"`    // that the whole program may hold, without the platform
-	MemoryMB  int       `toml:"memory_mb"`  // that connections and transfers may take at the most; 0: any
+	MemoryMB  int       `toml:"memory_mb"`  // that the program may take; 0: any
 	Transfers Transfers `toml:"transfers"`
 	Pace      Pace      `toml:"pace"` // of routes that have none of their own
 	Pools     []Pool    `toml:"pool"`
