Send cold servers their share in a large fleet: their budgets come first

Ruled out: quotas (calls granted as before), the list (new servers were told within 3 s), full or broken connections.

At fault: pick() divided a cold backend's cost into four, which never wins where two dozen warm ones are idle as one ingress sees it; pace() let a budget fade within half a second, while one ingress sends four times a second over 60 servers; and warmRate is 0 after a restart. Now a budget is spent before warm ones are looked at, lasts 1.5 fall times, and is at least a warm fleet's even share of what is sent.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,8 +41,9 @@
 	hungFactor  = 7.0                    // usual times after which an attempt no longer counts as out
 	hopeless    = 0.5                    // usual times left to a client under which trying is mostly in vain
 	warmMemory  = 30 * time.Second       // how long the most that a warm backend bore is remembered
-	coldSave    = 0.5                    // part of the fall time for which a cold backend's budget is saved up
+	coldSave    = 1.5                    // fall times for which a cold backend's budget is saved up
 	coldSafe    = 0.6                    // part of what it can do that a cold backend is sent: work is uneven
+	coldFirst   = 0.1                    // of its cost is that of a cold backend with budget: errors still outweigh
 	coldTrickle = 1.0                    // attempts a second to a cold backend, by all gateways, at least
 	idleRate    = 0.02                   // part of its quota's rate under which a customer is not active
 	retryShare  = 0.3                    // attempts again, as a part of requests: more would feed an overload
@@ -672,6 +673,10 @@
 	g.shed = min(shedMost, max(0, (g.part-shedFrom)/(1-shedFrom)))
 	// Guards against a fleet that starts cold all at once: what a warm one last bore is remembered.
 	g.warmRate = max(g.warmNow, g.warmRate*math.Exp(-dt/warmMemory.Seconds()))
+	g.sendRate += smooth * (g.sends/dt - g.sendRate)
+	g.sends = 0
+	g.widest = max(float64(len(g.fleet)), 1, g.widest*math.Exp(-dt/warmMemory.Seconds()))
+	even := g.sendRate / g.widest // a warm fleet's even share: all that a restarted gateway can go by
 	warm, fade := 0.0, math.Exp(-dt/healTime.Seconds())
 	for _, b := range g.fleet {
 		for _, at := range b.out {
@@ -686,7 +691,7 @@
 		}
 		cold := g.coldness(b)
 		warm += when(cold == 1, 1)
-		rate := max(coldTrickle/float64(g.set.Gateways), coldSafe*cold*g.warmRate)
+		rate := max(coldTrickle/float64(g.set.Gateways), coldSafe*cold*max(g.warmRate, even))
 		b.budget = g.round(b.budget*max(0, 1-dt/(coldSave*g.set.FallTime.Seconds())) + rate*dt)
 	}
 	g.warmNow += slowW * (g.warmOK/dt/max(warm, 1) - g.warmNow)
@@ -750,7 +755,11 @@
 		if full || !allowed(b) || b.restTo > g.now && !all {
 			continue
 		}
-		if cost := g.cost(b, c) / cold * (1 + 0.01*g.rng.Float64()); cost < bestCost {
+		cost := g.cost(b, c) * (1 + 0.01*g.rng.Float64())
+		if cold < 1 { // its budget is its share: among many idle warm ones it would never be spent
+			cost *= coldFirst
+		}
+		if cost < bestCost {
 			best, bestCost = b, cost
 		}
 	}
@@ -922,6 +931,7 @@
 	r.out = at
 	r.attempts++
 	g.outs++
+	g.sends++
 	b.out = append(b.out, at)
 	b.budget = max(0, b.budget-1) // counts while it is cold
 	g.act.Send(r.ID, b.ID, r.Deadline-g.now)
--- a/choice/state.go
+++ b/choice/state.go
@@ -40,6 +40,9 @@
 	warmRate float64           // the most answers a second lately got from each warm backend
 	warmNow  float64           // the same at present
 	warmOK   float64           // answers of warm backends in this period
+	sends    float64           // attempts sent in this period
+	sendRate float64           // and smoothed, a second
+	widest   float64           // the most backends lately
 }
 
 // New returns a Gate, or an error that names the setting it can't work with.
