Ask an overbooked discovery again at the fleet's pace, and count cold servers in the room

The 503s came 2,003 ms after the call, or at once. Checked: a fleet that rested 5 s in the mean was served 8 lists a second, each in 0.1 s, from 5 s on. So a line that is longer than anybody waits feeds itself. Jitter alone did not help (none served). At fault: discovery.go's stay, 50 ms doubled to 1 s for whatever reason.

At fault: room(), which counts backends. Now each counts by what it surely can do.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -267,7 +267,7 @@
 		return g.spendThin(a, r)
 	}
 	g.refill(a)
-	if _, window := windowOf(a, g.now); window > a.window+1 && !a.fresh && !a.blind { // as if unseen
+	if _, window := windowOf(a, g.now, 1); window > a.window+1 && !a.fresh && !a.blind { // as if unseen
 		a.fresh, a.store = true, min(a.store, a.plan.Burst/a.spread)
 	}
 	a.blind = a.blind || g.down()        // don't refuse for want of a renewal that can't be asked for
@@ -312,7 +312,7 @@
 // spent at any time, and is not there twice. What isn't granted stays counted, since nothing can come after it.
 // An idle fleet carries soft plans without a call.
 func (g *Gate) spendThin(a *account, r *request) (paid, hold bool) {
-	length, half := halfOf(a, g.now)
+	length, half := windowOf(a, g.now, 2)
 	switch {
 	case a.lease >= r.Units:
 		a.lease -= r.Units
@@ -348,7 +348,7 @@
 // roomAgain is when a customer's store will hold a request's units: of a thin one, when the next half begins.
 func (g *Gate) roomAgain(a *account, r *request) time.Duration {
 	wait := (r.Units - a.store - a.lease) / a.plan.Rate
-	if length, half := halfOf(a, g.now); a.thin() && a.spent == half {
+	if length, half := windowOf(a, g.now, 2); a.thin() && a.spent == half {
 		wait = length - math.Mod(g.now.Seconds()+length*phase(a), length)
 	}
 	return time.Duration(wait * float64(time.Second))
@@ -375,12 +375,6 @@
 	}
 }
 
-// halfOf tells the seconds of half a customer's window and its index.
-func halfOf(a *account, now time.Duration) (length float64, index int64) {
-	length = a.plan.Burst / a.plan.Rate / 2
-	return length, int64(math.Floor(now.Seconds()/length + phase(a)))
-}
-
 // keepFor is how long a count of that many seconds is kept: also for what comes late.
 func keepFor(length float64) time.Duration {
 	return min(time.Duration((2*length+1)*float64(time.Second)), 60*time.Second)
@@ -441,7 +435,7 @@
 		free := (a.store - want) * aheadPart / a.spread
 		want += math.Floor(max(0, min(a.rate*ahead, free)))
 	}
-	length, window := windowOf(a, g.now)
+	length, window := windowOf(a, g.now, 1)
 	if window != a.window { // what was not granted in a window that is over can't be given back
 		a.unposted = max(0, a.unposted)
 	}
@@ -456,13 +450,13 @@
 	return true
 }
 
-// windowOf tells a customer's window and its seconds; shifted by the id, so that not all begin at once.
-func windowOf(a *account, now time.Duration) (length float64, index int64) {
-	length = a.plan.Burst / a.plan.Rate
+// windowOf tells the seconds and the index of a customer's window, or of such a part of one.
+func windowOf(a *account, now time.Duration, parts float64) (length float64, index int64) {
+	length = a.plan.Burst / a.plan.Rate / parts
 	return length, int64(math.Floor(now.Seconds()/length + phase(a)))
 }
 
-// phase shifts a customer's windows, as a part of one.
+// phase shifts a customer's windows by its id, as a part of one, so that not all begin at once.
 func phase(a *account) float64 { return float64(a.id*0x9e3779b97f4a7c15>>40) / (1 << 24) }
 
 // down says that the counter is not to be counted on.
@@ -771,6 +765,7 @@
 	g.sends = 0
 	g.widest = max(float64(len(g.fleet)), 1, g.widest*math.Exp(-dt/warmMemory.Seconds()))
 	even := g.sendRate / g.widest // a warm fleet's even share: all that a restarted gateway can go by
+	g.able = 0
 	warm, fade := 0.0, math.Exp(-dt/healTime.Seconds())
 	for _, b := range g.fleet {
 		for _, at := range b.out {
@@ -785,6 +780,7 @@
 		}
 		cold := g.coldness(b)
 		warm += when(cold == 1, 1)
+		g.able += cold
 		rate := max(coldTrickle/float64(g.set.Gateways), coldSafe*cold*max(g.warmRate, even))
 		b.budget = g.round(b.budget*max(0, 1-dt/(coldSave*g.set.FallTime.Seconds())) + rate*dt)
 	}
@@ -826,6 +822,10 @@
 		return true
 	})
 	slices.SortFunc(g.fleet, func(a, b *backend) int { return cmp.Compare(a.ID, b.ID) })
+	g.able = 0
+	for _, b := range g.fleet {
+		g.able += g.coldness(b)
+	}
 }
 
 // coldness is the part of its capacity that a backend surely has: 1 when warm.
@@ -929,7 +929,7 @@
 // nothing out each, whatever took its capacity or brought the load. It may hurt where idle backends take over
 // a quarter of the aim and have many cores: the level stays at its least.
 func (g *Gate) room() float64 {
-	return max(1, g.level*float64(len(g.fleet))/float64(g.set.Gateways))
+	return max(1, g.level*g.able/float64(g.set.Gateways))
 }
 
 // mark notes how an attempt ended, at the backend and in the class's share over the fleet, which stands for
--- a/choice/state.go
+++ b/choice/state.go
@@ -43,6 +43,7 @@
 	warmOK   float64           // answers of warm backends in this period
 	sends    float64           // attempts sent in this period
 	sendRate float64           // and smoothed, a second
+	able     float64           // what the backends can do together, in warm ones
 	widest   float64           // the most backends lately
 }
 
--- a/cmd/dunespoke/gateway.go
+++ b/cmd/dunespoke/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"reflect"
 	"runtime/debug"
 	"sync/atomic"
@@ -189,7 +190,7 @@
 	}
 	go c.Run(work)
 	if conf.Discovery != "" {
-		go discovery.NewWatcher(conf.Discovery, c.Servers, p.dial, p.log).Run(work, discovery.List{})
+		go discovery.NewWatcher(conf.Discovery, rand.Uint64(), 1, c.Servers, p.dial, p.log).Run(work, discovery.List{})
 	} else {
 		servers := make([]core.Server, 0, len(conf.Servers))
 		for _, addr := range conf.Servers {
