Have each ingress use a part of a large fleet, by rendezvous hashing from the servers' side

Ruled out: servers closing early (some 200 of 4,000), the stale-connection guard (one). At fault: pick() weighs all backends alike. Ways weighed: consistent subsets from the gateways' side (uneven over servers by 22%), shuffled rounds (even, but a server that leaves reshuffles all), kept connections preferred (parts of three, uneven by half). From the servers' side each has exactly as many holders, and one that joins or leaves changes no other's.

Now internal/subset says who holds whom: 15 servers an ingress in the mean, at least eight holders a server, and everything where half of the ingresses would hold it. Others cost twice as much, for when the part is busy; cold servers have budgets at their holders alone. Without a number, as on fronts set up by an operator, all is held. The core's key of a server is a hash of its name, since its number differs between ingresses.

A share below one request now makes a customer thin, which replaces a way of chance in spend.

--- a/choice/api.go
+++ b/choice/api.go
@@ -61,6 +61,7 @@
 type Settings struct {
 	Zone           string // the gateway's own zone
 	Gateways       int    // gateways before the fleet, this one included
+	Number         int    // of this one among them, from 1; 0: not told, and it uses all backends alike
 	Classes        []Class
 	Plans          []Plan
 	MaxUnits       float64       // the most units a request counts
@@ -86,6 +87,8 @@
 	switch {
 	case s.Gateways < 1:
 		return fmt.Errorf("setting Gateways: %d, want 1 or more", s.Gateways)
+	case s.Number < 0 || s.Number > s.Gateways:
+		return fmt.Errorf("setting Number: %d, want 1 to %d, or 0 if it is not known", s.Number, s.Gateways)
 	case s.MaxAttempts < 1:
 		return fmt.Errorf("setting MaxAttempts: %d, want 1 or more", s.MaxAttempts)
 	case bad(s.ColdCapacity, s.FallMultiple, s.CrossZoneCost, s.MaxUnits, float64(s.ColdTime),
@@ -119,6 +122,7 @@
 // Backend is one entry of the server list.
 type Backend struct {
 	ID      uint64
+	Key     uint64 // the same at all gateways, unlike ID; spread evenly
 	Zone    string
 	Cell    int
 	State   State
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -9,6 +9,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"dunespoke/internal/subset"
 )
 
 // Tuned constants, each with its reason. Times that depend on a site come from its settings.
@@ -42,16 +44,17 @@
 	hopeless    = 0.5                    // usual times left to a client under which trying is mostly in vain
 	warmMemory  = 30 * time.Second       // how long the most that a warm backend bore is remembered
 	coldSave    = 1.5                    // fall times for which a cold backend's budget is saved up
-	warmPrior   = 10.0                   // periods of nothing that what warm ones bear is weighed against at first
-	coldSafe    = 1.6                    // of what warm ones lately bore, under half of what they can, for its part of it
+	warmPrior   = 10.0                   // periods of nothing that such a memory begins with
+	coldSafe    = 1.6                    // of what warm ones lately bore: under half of what they can
 	coldEarly   = 0.5                    // and less while it can do little: chance weighs more in small numbers
-	coldFirst   = 0.1                    // of its cost is that of a cold backend with budget: errors still outweigh
+	coldFirst   = 0.1                    // part of its cost for a cold backend that has budget
 	coldTrickle = 1.0                    // attempts a second to a cold backend, by all gateways, at least
 	idleRate    = 0.02                   // part of its quota's rate under which a customer is not active
 	retryShare  = 0.3                    // attempts again, as a part of requests: more would feed an overload
 	retrySave   = 10.0                   // such attempts saved up at the most: a short trouble's worth
 	backoffMin  = 100 * time.Millisecond // first rest of a backend that turns attempts away
 	backoffMax  = 2 * time.Second        // and its longest: one try in that time is cheap
+	far         = 2.0                    // cost of one not in the gateway's part: for when that is busy
 	remote      = 25.0                   // attempts out that one unit of cross-zone cost is weighed as
 	limitStart  = 12.0                   // attempts out a backend, by all gateways, to start with
 	roomy       = 0.15                   // part of the aim under which an answer lets a backend have more out
@@ -210,8 +213,8 @@
 	if a == nil {
 		spread := float64(max(1, min(r.Spread, g.set.Gateways)))
 		a = &account{id: r.Customer, plan: r.plan, spread: spread, storeAt: g.now, ceilingAt: g.now,
-			fresh: true, window: -1, epoch: -1, spent: -1, luck: r.plan.Burst + 1, grant: newcomer * (1 - g.denied[r.plan]),
-			store:   r.plan.Burst / spread, // the first lease of an unseen customer
+			fresh: true, window: -1, epoch: -1, spent: -1, luck: r.plan.Burst + 1,
+			grant: newcomer * (1 - g.denied[r.plan]), store: r.plan.Burst / spread, // of an unseen customer
 			ceiling: r.plan.CeilingSlack / (2 * spread)}
 		g.accounts[accountKey{r.Customer, r.plan}] = a
 		g.list = append(g.list, a)
@@ -295,8 +298,6 @@
 		r.inside = true
 		g.renew(a, 0)
 		return true, false
-	case a.plan.Burst/a.spread < r.Units && g.byChance(a, r.Units, a.plan.Rate/a.spread, a.grant):
-		return true, false
 	}
 	if a.borrowed >= r.Units && soft(a.plan) {
 		a.borrowed -= r.Units
@@ -305,14 +306,12 @@
 	return false, false
 }
 
-// thin says that a customer is spread over so many gateways that none can lease for it, nor sees it again
-// before what it knew has passed: a share of the quota's store holds not half a request.
-func (a *account) thin() bool { return 2*a.plan.Burst < a.spread }
+// thin says that a share of a customer's store holds no request, so that none can lease for it.
+func (a *account) thin() bool { return a.plan.Burst < a.spread }
 
-// spendThin pays a thin customer's units by one call for each request, to a count of half a window. What is let
-// in beyond the half's own refill is drawn from the next half's count: a store that is full at first may be
-// spent at any time, and is not there twice. What isn't granted stays counted, since nothing can come after it.
-// An idle fleet carries soft plans without a call.
+// spendThin pays a thin customer's units by a call a request, to a count of half a window. What is let in
+// beyond the half's refill is drawn from the next one's: a store full at first is not there twice. What isn't
+// granted stays counted: nothing comes in behind it. An idle fleet carries soft plans without calls.
 func (g *Gate) spendThin(a *account, r *request) (paid, hold bool) {
 	length, half := windowOf(a, g.now, 2)
 	switch {
@@ -370,10 +369,10 @@
 	}
 	a.lease += c.want
 	g.learn(a, 1)
-	length := a.plan.Burst / a.plan.Rate / 2
-	if name := fmt.Sprintf("t%x.%x", a.id, c.window+1); rank > a.plan.Burst/2 && g.ease == 1 && g.calls[name] == nil {
+	name := fmt.Sprintf("t%x.%x", a.id, c.window+1)
+	if rank > a.plan.Burst/2 && g.ease == 1 && g.calls[name] == nil {
 		g.calls[name] = &call{account: a, carry: true, amount: c.amount, window: c.window + 1, sent: g.now}
-		g.act.Add(name, c.amount, keepFor(2*length))
+		g.act.Add(name, c.amount, keepFor(a.plan.Burst/a.plan.Rate))
 	}
 }
 
@@ -763,8 +762,7 @@
 	g.shed = min(shedMost, max(0, (g.part-shedFrom)/(1-shedFrom)))
 	// Guards against a fleet that starts cold all at once: what a warm one last bore is remembered.
 	g.warmRate = max(g.warmNow, g.warmRate*math.Exp(-dt/warmMemory.Seconds()))
-	g.sendRate += smooth * (g.sends/dt - g.sendRate)
-	g.sends = 0
+	g.sendRate, g.sends = g.sendRate+smooth*(g.sends/dt-g.sendRate), 0
 	g.widest = max(float64(len(g.fleet)), 1, g.widest*math.Exp(-dt/warmMemory.Seconds()))
 	even := g.sendRate / g.widest // a warm fleet's even share: all that a restarted gateway can go by
 	warm, fade := 0.0, math.Exp(-dt/healTime.Seconds())
@@ -781,7 +779,8 @@
 		}
 		cold := g.coldness(b)
 		warm += when(cold == 1, 1)
-		rate := max(coldTrickle/float64(g.set.Gateways), coldSafe*cold*min(1, coldEarly+cold)*max(g.warmRate, even))
+		rate := coldSafe * cold * min(1, coldEarly+cold) * max(g.warmRate, even) * float64(g.set.Gateways)
+		rate = max(coldTrickle, rate) / float64(g.holders)
 		b.budget = g.round(b.budget*max(0, 1-dt/(coldSave*g.set.FallTime.Seconds())) + rate*dt)
 	}
 	g.periods++
@@ -825,6 +824,10 @@
 	})
 	slices.SortFunc(g.fleet, func(a, b *backend) int { return cmp.Compare(a.ID, b.ID) })
 	g.warm = float64(len(g.fleet)) // until the next period looks
+	g.holders = subset.Holders(g.set.Gateways, len(g.fleet), g.set.Number > 0)
+	for _, b := range g.fleet {
+		b.mine = subset.Holds(b.Key, g.set.Number-1, g.set.Gateways, g.holders)
+	}
 }
 
 // coldness is the part of its capacity that a backend surely has: 1 when warm.
@@ -844,13 +847,15 @@
 	all := !slices.ContainsFunc(g.fleet, func(b *backend) bool { return allowed(b) && b.restTo <= g.now })
 	for _, b := range g.fleet {
 		cold := g.coldness(b)
-		full := float64(len(b.out)) >= b.limit || cold < 1 && b.budget < 1 || cold == 1 && coldOnly
+		full := float64(len(b.out)) >= b.limit || cold < 1 && (!b.mine || b.budget < 1) || cold == 1 && coldOnly
 		if full || !allowed(b) || b.restTo > g.now && !all {
 			continue
 		}
 		cost := g.cost(b, c) * (1 + 0.01*g.rng.Float64())
 		if cold < 1 { // its budget is its share: among many idle warm ones it would never be spent
 			cost *= coldFirst
+		} else if !b.mine { // kept connections, and answers to tell slow ones by, are few
+			cost *= far
 		}
 		if cost < bestCost {
 			best, bestCost = b, cost
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -50,7 +50,7 @@
 func manyBackends(n int) []choice.Backend {
 	list := make([]choice.Backend, n)
 	for i := range list {
-		list[i] = choice.Backend{ID: uint64(i + 1), Zone: "a"}
+		list[i] = choice.Backend{ID: uint64(i + 1), Key: uint64(i + 1), Zone: "a"}
 	}
 	return list
 }
@@ -410,7 +410,7 @@
 			e := newEmbedder()
 			list := make([]choice.Backend, servers)
 			for i := range list {
-				list[i] = choice.Backend{ID: uint64(i + 1), Zone: "a"}
+				list[i] = choice.Backend{ID: uint64(i + 1), Key: uint64(i + 1), Zone: "a"}
 			}
 			g := newGate(b, e, list...)
 			b.ReportAllocs()
--- a/choice/state.go
+++ b/choice/state.go
@@ -45,6 +45,7 @@
 	sendRate float64           // and smoothed, a second
 	periods  float64           // since the start
 	warm     float64           // warm backends
+	holders  int               // gateways that have a backend in their part
 	widest   float64           // the most backends lately
 }
 
@@ -174,6 +175,7 @@
 	seen   []float64 // and attempts
 	rest   time.Duration
 	restTo time.Duration
+	mine   bool    // in this gateway's part of the fleet
 	budget float64 // attempts that may be sent while it is cold
 }
 
--- a/choice/vast_test.go
+++ b/choice/vast_test.go
@@ -149,3 +149,37 @@
 		}
 	}
 }
+
+// Each gateway once used every backend, so that its connections stood idle between two requests for longer
+// than they are kept, and it heard of each backend every ten seconds.
+func TestGatewaysUseAPartOfTheFleet(t *testing.T) {
+	const length = 20 * time.Second
+	pairs, load := map[[2]uint64]time.Duration{}, map[uint64]int{}
+	opened, sends := 0, 0
+	f := vast(t, nil)
+	f.set.Number = 1
+	for i := range f.gates {
+		f.set.Number = i + 1
+		f.start(i, 0)
+	}
+	f.answer = func(now time.Duration, gate int, s sentTo) (time.Duration, choice.Code) {
+		pair := [2]uint64{uint64(gate), s.backend}
+		if last, known := pairs[pair]; !known || now-last > 9*time.Second {
+			opened++
+		}
+		pairs[pair] = now
+		sends++
+		load[s.backend]++
+		return 150 * ms, choice.OK
+	}
+	f.run(10*ms, length, func(time.Duration) {})
+	most := 0
+	for _, n := range load {
+		most = max(most, n)
+	}
+	mean := float64(sends) / vastFleet
+	t.Logf("%d connections, %d attempts; most on one backend %.2f of the mean", opened, sends, float64(most)/mean)
+	if opened > sends/4 || len(load) < vastFleet || float64(most) > 1.25*mean {
+		t.Errorf("%d connections for %d attempts to %d backends, at most %d", opened, sends, len(load), most)
+	}
+}
--- a/cmd/benchlink/link.go
+++ b/cmd/benchlink/link.go
@@ -174,6 +174,7 @@
 	}
 	l.missing--
 	b := choice.Backend{ID: f.id("backend"), Zone: f.text("failure_domain")}
+	b.Key = b.ID
 	f.text("sku")
 	b.Cell = f.integer("cell")
 	switch state := f.text("state"); {
--- a/cmd/dunespoke/gateway.go
+++ b/cmd/dunespoke/gateway.go
@@ -190,7 +190,8 @@
 	}
 	go c.Run(work)
 	if conf.Discovery != "" {
-		go discovery.NewWatcher(conf.Discovery, rand.Uint64(), 1, c.Servers, p.dial, p.log).Run(work, discovery.List{})
+		watcher := discovery.NewWatcher(conf.Discovery, rand.Uint64(), g.Gateways, c.Servers, p.dial, p.log)
+		go watcher.Run(work, discovery.List{})
 	} else {
 		servers := make([]core.Server, 0, len(conf.Servers))
 		for _, addr := range conf.Servers {
--- a/core/core.go
+++ b/core/core.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -256,8 +257,8 @@
 		} else {
 			c.servers[id] = s
 		}
-		backends = append(backends, choice.Backend{ID: id, Zone: s.Zone, Cell: s.Cell, State: s.State,
-			Weight: s.Weight, Started: s.Started})
+		backends = append(backends, choice.Backend{ID: id, Key: key(s.Name), Zone: s.Zone, Cell: s.Cell,
+			State: s.State, Weight: s.Weight, Started: s.Started})
 	}
 	live := false
 	for id, s := range c.servers {
@@ -273,6 +274,13 @@
 	c.gate.Backends(c.Now(), full, backends)
 }
 
+// key is a server's at all gateways, whatever number each of them knows it by.
+func key(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
 // queue holds the events that the core has not handled yet. It has no bound of its own: each event belongs
 // to a connection, an attempt or a call, and those are bounded where they are made.
 type queue struct {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -13,6 +13,7 @@
 type wireSettings struct {
 	Az      string `json:"az"`
 	N       int    `json:"n_instances"`
+	Me      *int   `json:"me"`
 	Classes []struct {
 		Name      string  `json:"name"`
 		Aim       float64 `json:"aim"`
@@ -91,6 +92,9 @@
 		FallMultiple: w.Invariants.FallMultiple, FallTime: dur(w.Invariants.Fall),
 		QueueField: -1,
 	}
+	if w.Me != nil {
+		s.Number = *w.Me + 1
+	}
 	if w.Report.Via == "inline" {
 		s.QueueField = slices.Index(w.Report.Fields, "backlog")
 	}
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -73,8 +73,8 @@
 	io.WriteString(nc, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 }
 
-// A fleet restarted all at once asks for its lists all at once. Each ingress once asked again after a second at
-// the latest, so that the line stayed longer than anybody waits: in 13 s not one of eighty got its list.
+// A fleet restarted all at once asks for its lists all at once. Each once asked again within a second,
+// so that the line stayed longer than anybody waits, and next to none got its list.
 func TestFleetGetsItsListsFromAnOverbookedDiscovery(t *testing.T) {
 	const watchers, price = 80, 125 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
@@ -107,7 +107,7 @@
 				later = max(later, n)
 			}
 		}
-		t.Logf("%d lists after 15 s, %d after 40 s, %d calls, at most %d in a second", half, all, len(d.asked), later)
+		t.Logf("%d lists after 15 s, %d after 40 s, %d calls, %d a second", half, all, len(d.asked), later)
 		if half < watchers/2 || all < watchers || later > 24 {
 			t.Errorf("%d and %d of %d have their lists, at most %d calls in a second", half, all, watchers, later)
 		}
