--- a/choice/vast_test.go
+++ b/choice/vast_test.go
@@ -178,7 +178,7 @@
 		most = max(most, n)
 	}
 	mean := float64(sends) / vastFleet
-	t.Logf("%d connections, %d attempts; most on one backend %.2f of the mean", opened, sends, float64(most)/mean)
+	t.Logf("%d connections, %d attempts; most on one %.2f of the mean", opened, sends, float64(most)/mean)
 	if opened > sends/4 || len(load) < vastFleet || float64(most) > 1.25*mean {
 		t.Errorf("%d connections for %d attempts to %d backends, at most %d", opened, sends, len(load), most)
 	}
--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -243,8 +243,8 @@
 	if err != nil {
 		return err
 	}
-	p.watcher = discovery.NewWatcher(conf.Discovery, uint64(conf.Seed), conf.Settings.Gateways, c.Servers, p.dial,
-		p.log)
+	p.watcher = discovery.NewWatcher(conf.Discovery, uint64(conf.Seed), conf.Settings.Gateways, c.Servers,
+		p.dial, p.log)
 	go p.watcher.Run(p.work, known)
 	p.ready = append(p.ready, c.Ready)
 	return p.serve(conf.Listen, platform.New(c, conf.Settings, p.draining, guard), share.clients, nil)
