Wait 0.3 s for a dial of discovery: with the rest it took all of a drain's second

A dial of discovery's agent that hung was given 1 s, and then rested for 50 ms and more: 1.05 s and the next attempt make the 1.09 s of the broken drain rule. Now 0.3 s and at most 0.4 s of rest; TestHangingDialsLeaveTimeForADrain fails with a dial of 1 s.

--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	silent   = 7 * time.Second // a watch with no line for so long has missed three beats of 2 s
-	dialWait = time.Second
+	silent   = 7 * time.Second        // a watch with no line for so long has missed three beats of 2 s
+	dialWait = 300 * time.Millisecond // the agent is near; with a rest it has to be under the drains' second
 	listWait = time.Second            // for the whole list, which is answered at once if at all
 	restMin  = 100 * time.Millisecond // the longest rest after the first watch that broke, doubling to restMax
 	// While the watch rests, discovery's agent may be told of a drain, from when on there is one second to stop
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -114,6 +114,29 @@
 	})
 }
 
+// A dial that hung once took a second, and the rest came on top: a drain told meanwhile was known too late.
+func TestHangingDialsLeaveTimeForADrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		last, calls := time.Now(), 0
+		w := NewWatcher("discovery", 1, 4, func(bool, []core.Server) {},
+			func(c context.Context, _, _ string) (net.Conn, error) {
+				if gap := time.Since(last); gap > 800*time.Millisecond {
+					t.Errorf("%v between two calls", gap)
+				}
+				last = time.Now()
+				calls++
+				<-c.Done()
+				return nil, c.Err()
+			}, zerolog.Nop())
+		w.Run(ctx, List{Generation: 1})
+		if calls < 20 {
+			t.Errorf("%d calls in 20 s", calls)
+		}
+	})
+}
+
 // Rests are drawn from each ingress's own seed, and stay within what a watch that broke may cost in lateness.
 func TestRestsDifferAmongIngresses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
