--- a/choice/choice.go
+++ b/choice/choice.go
@@ -332,7 +332,8 @@
 	if p := g.callChance(a.plan); !r.asked && g.calls[name] == nil && g.rng.Float64() < p {
 		r.asked, a.unitCall = true, true
 		amount := r.Units / p // stands for those that make no call, too
-		g.calls[name] = &call{account: a, amount: amount, want: r.Units, again: r.Again, window: half.Index, sent: g.now}
+		g.calls[name] = &call{account: a, amount: amount, want: r.Units, again: r.Again, window: half.Index,
+			sent: g.now}
 		g.act.Add(name, amount, half.Keep())
 		return false, true
 	}
