--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -14,7 +14,7 @@
 	Left   time.Duration // until the next one begins
 }
 
-// At returns the window at a time of those that are so many seconds long. Those of different customers begin at
+// At returns the window at a time of those that are so many seconds long. Different customers' begin at
 // different times: else all would renew at once.
 func At(id uint64, length float64, now time.Duration) Window {
 	phase := float64(id*0x9e3779b97f4a7c15>>40) / (1 << 24)
