--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,8 +32,8 @@
 	newcomer    = 0.8                    // part of that share of the plan's to count on for an unseen customer
 	grantAmple  = 2.0                    // times that share, squared, are asked for: the refused ask less
 	eager       = 3.0                    // steepness of a chance while the fleet idles, where it earns
-	kindW       = 0.05                   // and in that of a kind of requests: a few seconds' worth
 	slowW       = 0.02                   // weight in what must not follow chance: fifty answers' memory
+	kindW       = 0.05                   // weight in the share of a kind of requests refused: seconds' worth
 	idleLeast   = 10 * time.Second       // memory of a customer's visits; idle so long, and two windows, it goes
 	logEvery    = 10 * time.Second       // least time between two log lines of a kind
 	sampleW     = 0.1                    // weight of one sample: work varies much between requests
--- a/choice/vast_test.go
+++ b/choice/vast_test.go
@@ -166,7 +166,6 @@
 	pairs, load := map[[2]uint64]time.Duration{}, map[uint64]int{}
 	opened, sends := 0, 0
 	f := vast(t, nil)
-	f.set.Number = 1
 	for i := range f.gates {
 		f.set.Number = i + 1
 		f.start(i, 0)
