Take operators' calls on mgmt: HEALTH, LEAVE and JOIN; share the clients' address

LEAVE is a drain that can end: /healthz says 503 and every answer closes its connection, but the listener stays open, so that JOIN has nothing to restart. Rejected: LEAVE as the drain of SIGTERM, which closes the listener for good. Client listeners set SO_REUSEPORT; mgmt does not, since each process has its own and a call must reach the one it is meant for.

--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -40,6 +40,7 @@
 	ready   []func() bool // of each front
 	failed  chan error
 	stops   atomic.Bool // told to stop
+	leaving atomic.Bool // told to leave by an operator, until told to join
 
 	conf     *config.Platform // as last read; nil without the platform
 	watcher  *discovery.Watcher
@@ -214,7 +215,13 @@
 		}
 		p.gate = t
 	}
-	return p.agent(operator.Agent)
+	if err := p.agent(operator.Agent); err != nil {
+		return err
+	}
+	if conf != nil && conf.Mgmt != "" {
+		return p.mgmt(conf.Mgmt)
+	}
+	return nil
 }
 
 // stall is how long an app server's answer may stand still once it has begun. Slow lines bring one in many
@@ -348,7 +355,7 @@
 	return agentcheck.Report{State: agentcheck.Up, Weight: weight}
 }
 
-func (p *program) draining() bool { return p.stops.Load() }
+func (p *program) draining() bool { return p.stops.Load() || p.leaving.Load() }
 
 // drain ends all fronts at once and waits for the last answer.
 func (p *program) drain() {
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -30,6 +30,7 @@
 	Seed      Seed            `json:"seed"`
 	Limits    Limits          `json:"limits"`
 	Counter   string          `json:"counter"`
+	Mgmt      string          `json:"mgmt"`  // where operators call; none without it
 	Known     json.RawMessage `json:"known"` // in discovery's form
 	Raw       json.RawMessage `json:"settings"`
 
@@ -89,7 +90,7 @@
 		return nil, err
 	}
 	for key, field := range map[string]*string{
-		"LB_NAME": &p.Name, "LB_LISTEN": &p.Listen, "LB_DISCOVERY": &p.Discovery} {
+		"LB_NAME": &p.Name, "LB_LISTEN": &p.Listen, "LB_DISCOVERY": &p.Discovery, "LB_MGMT": &p.Mgmt} {
 		if *field == "" {
 			*field = getenv(key)
 		}
@@ -106,7 +107,7 @@
 	case p.Limits.MemoryMB < 0 || p.Limits.Cores < 0:
 		return nil, errors.New("limits: figures must not be negative")
 	}
-	for key, addr := range map[string]string{"discovery": p.Discovery, "counter": p.Counter} {
+	for key, addr := range map[string]string{"discovery": p.Discovery, "counter": p.Counter, "mgmt": p.Mgmt} {
 		if _, _, err := net.SplitHostPort(addr); err != nil && addr != "" {
 			return nil, fmt.Errorf("%s: %w", key, err)
 		}
--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -43,6 +43,7 @@
 	log      zerolog.Logger
 	slots    chan struct{} // one for each connection that may be open
 	draining atomic.Bool
+	leaving  atomic.Bool // told to leave by an operator, and not back yet
 	closed   atomic.Bool
 
 	mu    sync.Mutex
@@ -192,8 +193,16 @@
 // requests.
 func (s *Server) crowded() bool { return 2*len(s.slots) > cap(s.slots) }
 
-// Draining reports whether the server is on its way out.
-func (s *Server) Draining() bool { return s.draining.Load() }
+// Draining reports whether the server is on its way out, for good or until it is told to join again.
+func (s *Server) Draining() bool { return s.draining.Load() || s.leaving.Load() }
+
+// Leave has every answer from now on close its connection, until Join; the listener stays open, since a
+// drain that an operator asks for may end. Clients see the drain in the front's health check and stop
+// coming; idle connections end by their own time limit.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Join undoes Leave.
+func (s *Server) Join() { s.leaving.Store(false) }
 
 // Free is the part of the connections that is free, in percent.
 func (s *Server) Free() int { return 100 - 100*len(s.slots)/cap(s.slots) }
--- a/internal/net/direct/direct_linux.go
+++ b/internal/net/direct/direct_linux.go
@@ -16,6 +16,8 @@
 	"sync"
 	"syscall"
 	"unsafe"
+
+	"golang.org/x/sys/unix"
 )
 
 // Conn is a connection read and written directly. One goroutine may read while another writes.
@@ -161,15 +163,27 @@
 	return errors.ErrUnsupported
 }
 
-// Listen is net.Listen, for direct connections.
+// Listen is net.Listen, for direct connections. The address may be shared by SO_REUSEPORT: a new process
+// of an upgrade listens beside the old one, so that clients are taken by either while both live.
 func Listen(network, addr string) (net.Listener, error) {
-	l, err := net.Listen(network, addr)
+	l, err := shared.Listen(context.Background(), network, addr)
 	if err != nil {
 		return nil, err
 	}
 	return listener{l}, nil
 }
 
+// shared sets SO_REUSEPORT on the socket before it is bound.
+var shared = net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+	var err error
+	if cerr := c.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	}); cerr != nil {
+		return cerr
+	}
+	return err
+}}
+
 type listener struct{ net.Listener }
 
 func (l listener) Accept() (net.Conn, error) {
