Answer DUMP with the ingress's figures, and OFFLINE and ONLINE by bans on app servers

Design: the core counts answers by class, attempts written whole, open requests and the list in atomics that it alone writes and mgmt reads at any time; nothing waits on the core's goroutine for a DUMP. Rejected: bans in the discovery watcher, which the core's own list of drains would not know, and figures gathered by an event on the core, which a busy ingress would answer late.

--- a/cmd/dunespoke/mgmt.go
+++ b/cmd/dunespoke/mgmt.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
+	"time"
 
 	"dunespoke/internal/mgmt"
 )
@@ -40,10 +42,61 @@
 		p.log.Info().Str("code", "mgmt-"+map[bool]string{true: "leave", false: "join"}[leave]).
 			Msg("told by an operator")
 		return mgmt.Answer{OK: true}
+	case "DUMP":
+		if p.main == nil {
+			return mgmt.Fail("no platform front")
+		}
+		figures, err := json.Marshal(p.main.Figures().Snapshot())
+		if err != nil {
+			return mgmt.Fail("figures: %v", err)
+		}
+		return mgmt.Answer{OK: true, Report: true, Lines: []string{string(figures), "EOT"}}
+	case "OFFLINE", "ONLINE":
+		if len(args) != 1 {
+			return mgmt.Fail("%s takes one app server's id", verb)
+		}
+		return p.ban(args[0], verb == "OFFLINE")
 	}
 	return mgmt.Fail("unknown call %q", verb)
 }
 
+// banWait bounds the wait for the core's goroutine: a caller waits a second.
+const banWait = 700 * time.Millisecond
+
+// ban takes an app server out of rotation, or puts it back, and keeps the bans for a process that follows.
+func (p *program) ban(name string, on bool) mgmt.Answer {
+	if p.main == nil {
+		return mgmt.Fail("no platform front")
+	}
+	known := make(chan bool, 1)
+	p.main.Ban(name, on, known)
+	select {
+	case ok := <-known:
+		if !ok {
+			return mgmt.Fail("no app server %s has been listed", name)
+		}
+	case <-time.After(banWait): // it is in the core's queue, and goes in that order
+	}
+	code := map[bool]string{true: "mgmt-offline", false: "mgmt-online"}[on]
+	p.log.Info().Str("code", code).Str("server", name).Msg("told by an operator")
+	p.keepBans()
+	return mgmt.Answer{OK: true}
+}
+
+// keepBans writes the bans where a process that upgrades this one finds them.
+func (p *program) keepBans() {
+	names := make(chan []string, 1)
+	p.main.Bans(names)
+	select {
+	case list := <-names:
+		if err := writeBans(bansFile(p.conf.Listen), list); err != nil {
+			p.log.Warn().Str("code", "bans-unwritten").Err(err).Msg("a process that follows won't know the bans")
+		}
+	case <-time.After(banWait):
+		p.log.Warn().Str("code", "bans-unwritten").Msg("the core was too slow to tell its bans")
+	}
+}
+
 // health is yes once this process takes clients, and no once it is told to stop.
 func (p *program) health() mgmt.Answer {
 	if p.stops.Load() {
--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -43,6 +43,7 @@
 	leaving atomic.Bool // told to leave by an operator, until told to join
 
 	conf     *config.Platform // as last read; nil without the platform
+	main     *core.Core       // the platform's; nil without it
 	watcher  *discovery.Watcher
 	counters []mover // of the platform's counter
 
@@ -250,6 +251,13 @@
 	if err != nil {
 		return err
 	}
+	p.main = c
+	if names, err := readBans(bansFile(conf.Listen)); err != nil {
+		p.log.Warn().Str("code", "bans-unread").Err(err).Msg("no app server is kept out by an earlier word")
+	} else if len(names) > 0 {
+		c.Keep(names)
+		p.log.Info().Str("code", "bans-kept").Strs("servers", names).Msg("kept out since before this process")
+	}
 	p.watcher = discovery.NewWatcher(conf.Discovery, uint64(conf.Seed), conf.Settings.Gateways, c.Servers,
 		p.dial, p.log)
 	go p.watcher.Run(p.work, known)
--- /dev/null
+++ b/core/bans.go
@@ -0,0 +1,66 @@
+package core
+
+import "dunespoke/choice"
+
+// Figures returns the core's figures.
+func (c *Core) Figures() *Figures { return c.figures }
+
+// Ban takes a server out of rotation by name, or puts it back, whatever the list says of it: to the gate it
+// drains. The ban is kept while the server is gone from the list, and over its restarts. The answer, on a
+// channel of one, is false for a name that the list has never held; it is sent on the core's goroutine.
+func (c *Core) Ban(name string, on bool, known chan<- bool) {
+	c.queue.put(func() { known <- c.ban(name, on) })
+}
+
+func (c *Core) ban(name string, on bool) bool {
+	id, listed := c.ids[name]
+	if !c.seen[name] && !c.banned[name] {
+		return false
+	}
+	if on == c.banned[name] {
+		return true
+	}
+	if on {
+		c.banned[name] = true
+	} else {
+		delete(c.banned, name)
+	}
+	if s, ok := c.servers[id]; listed && ok {
+		if on {
+			c.upstream.Drop(s) // its idle connections: nothing new goes to it
+		}
+		state := s.State
+		if on && state == choice.Live {
+			state = choice.Draining
+		}
+		c.gate.Backends(c.Now(), false, []choice.Backend{c.backend(id, s, state)})
+	}
+	c.count()
+	return true
+}
+
+// Keep takes bans that were in force before this process began, as of names that were listed.
+func (c *Core) Keep(names []string) {
+	c.queue.put(func() {
+		for _, n := range names {
+			c.seen[n] = true
+			c.ban(n, true)
+		}
+	})
+}
+
+// seenMost bounds the names remembered as once listed; a fleet that comes and goes would fill the memory.
+const seenMost = 1 << 14
+
+// banList returns the names that are out of rotation by an operator's word, in no order. Only for the core's
+// goroutine: see Bans.
+func (c *Core) banList() []string {
+	names := make([]string, 0, len(c.banned))
+	for n := range c.banned {
+		names = append(names, n)
+	}
+	return names
+}
+
+// Bans sends the names banned now, on the core's goroutine.
+func (c *Core) Bans(out chan<- []string) { c.queue.put(func() { out <- c.banList() }) }
--- a/core/core.go
+++ b/core/core.go
@@ -123,8 +123,9 @@
 	start    time.Time
 	origin   time.Duration // Unix time at start
 
-	queue queue
-	ready atomic.Bool
+	queue   queue
+	ready   atomic.Bool
+	figures *Figures
 
 	// Owned by the goroutine of Run.
 	timers     timers
@@ -133,7 +134,9 @@
 	requests   map[uint64]*request
 	lastServer uint64
 	ids        map[string]uint64 // of servers, by name
-	servers    map[uint64]Server
+	servers    map[uint64]Server // as the list says
+	banned     map[string]bool   // by name: out of rotation by an operator's word, whatever the list says
+	seen       map[string]bool   // names that the list has held, up to seenMost
 }
 
 // New returns a core, to be set going by Run.
@@ -141,12 +144,16 @@
 	start := time.Now()
 	k := &Core{set: c.Settings, upstream: c.Upstream, counter: c.Counter, log: c.Log, start: start,
 		origin: time.Duration(start.UnixNano()), requests: map[uint64]*request{},
-		ids: map[string]uint64{}, servers: map[uint64]Server{}}
+		ids: map[string]uint64{}, servers: map[uint64]Server{}, banned: map[string]bool{},
+		seen: map[string]bool{}}
 	k.queue.ready = make(chan struct{}, 1)
 	k.wary = map[string]bool{}
+	var classes []string
 	for _, class := range c.Settings.Classes {
 		k.wary[class.Name] = class.Repeat != choice.Safe
+		classes = append(classes, class.Name)
 	}
+	k.figures = newFigures(classes)
 	if k.counter == nil {
 		k.set.Counter = false
 	}
@@ -223,6 +230,7 @@
 // Submit hands in a request from any goroutine. From here on it gets one final answer.
 func (c *Core) Submit(in Request) Ticket {
 	r := &request{Request: in}
+	c.figures.open.Add(1)
 	c.queue.put(func() { c.take(r) })
 	return Ticket{c, r}
 }
@@ -249,32 +257,57 @@
 			c.ids[s.Name] = id
 		}
 		named[id] = true
+		if len(c.seen) < seenMost {
+			c.seen[s.Name] = true
+		}
 		if old, ok := c.servers[id]; ok && (s.State != choice.Live || old.Addr != s.Addr) {
 			c.upstream.Drop(old)
 		}
+		state := s.State
+		if c.banned[s.Name] && state == choice.Live {
+			state = choice.Draining
+		}
 		if s.State == choice.Gone { // forgotten, or a fleet that comes and goes would fill the memory
 			delete(c.servers, id)
 			delete(c.ids, s.Name)
 		} else {
 			c.servers[id] = s
 		}
-		backends = append(backends, choice.Backend{ID: id, Key: key(s.Name), Zone: s.Zone, Cell: s.Cell,
-			State: s.State, Weight: s.Weight, Started: s.Started})
+		backends = append(backends, c.backend(id, s, state))
 	}
-	live := false
 	for id, s := range c.servers {
 		if full && !named[id] {
 			c.upstream.Drop(s)
 			delete(c.servers, id)
 			delete(c.ids, s.Name)
-			continue
 		}
-		live = live || s.State == choice.Live
 	}
-	c.ready.Store(live)
+	c.count()
 	c.gate.Backends(c.Now(), full, backends)
 }
 
+func (c *Core) backend(id uint64, s Server, state choice.State) choice.Backend {
+	return choice.Backend{ID: id, Key: key(s.Name), Zone: s.Zone, Cell: s.Cell, State: state, Weight: s.Weight,
+		Started: s.Started}
+}
+
+// live reports whether a server may be sent anything new.
+func (c *Core) live(s Server) bool { return s.State == choice.Live && !c.banned[s.Name] }
+
+// count tells the figures and Ready what the list holds now.
+func (c *Core) count() {
+	live, out := false, 0
+	for _, s := range c.servers {
+		live = live || c.live(s)
+		if !c.live(s) {
+			out++
+		}
+	}
+	c.ready.Store(live)
+	c.figures.listed.Store(int64(len(c.servers)))
+	c.figures.out.Store(int64(out))
+}
+
 // key is a server's at all gateways, whatever number each of them knows it by.
 func key(name string) uint64 {
 	h := fnv.New64a()
--- a/core/request.go
+++ b/core/request.go
@@ -42,6 +42,7 @@
 		return
 	}
 	r.done = true
+	c.figures.answered(r.Class, a.Kind)
 	r.Reply(a)
 	c.forget(r)
 }
@@ -58,6 +59,7 @@
 		return
 	}
 	r.done = true
+	c.figures.open.Add(-1)
 	if r.id != 0 {
 		c.gate.Left(c.Now(), r.id)
 		c.forget(r)
@@ -85,6 +87,9 @@
 	}
 	at.ended = true
 	r.out--
+	if res.Code != choice.Refused && res.Code != choice.Skipped { // written whole: the server has seen it
+		c.figures.relay()
+	}
 	switch {
 	case res.Code == choice.OK:
 		c.answer(r, Answer{Kind: Served, Body: res.Body})
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -16,10 +16,12 @@
 )
 
 // Answer is what a call gets: a verdict, a reason on its line, and lines after it, such as figures.
+// Lines without a verdict are a report, such as figures, that stands for SUCCESS.
 type Answer struct {
 	OK     bool
 	Reason string
 	Lines  []string
+	Report bool // the lines alone
 }
 
 // Fail is a FAILURE with a reason.
@@ -38,15 +40,19 @@
 
 // Append words an answer.
 func (a Answer) Append(b []byte) []byte {
-	if a.OK {
+	switch {
+	case a.Report && a.OK:
+	case a.OK:
 		b = append(b, "SUCCESS"...)
-	} else {
+	default:
 		b = append(b, "FAILURE"...)
 	}
 	if a.Reason != "" {
 		b = append(append(b, ' '), a.Reason...)
 	}
-	b = append(b, '\n')
+	if !a.Report || !a.OK {
+		b = append(b, '\n')
+	}
 	for _, l := range a.Lines {
 		b = append(append(b, l...), '\n')
 	}
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -13,6 +13,8 @@
 		"SUCCESS\n":                 {OK: true},
 		"FAILURE unknown id s9\n":   Fail("unknown id %s", "s9"),
 		"SUCCESS\n{\"a\":1}\nEOT\n": {OK: true, Lines: []string{`{"a":1}`, "EOT"}},
+		"{\"a\":1}\nEOT\n":          {OK: true, Report: true, Lines: []string{`{"a":1}`, "EOT"}},
+		"FAILURE no figures\nEOT\n": {Report: true, Reason: "no figures", Lines: []string{"EOT"}},
 		"SUCCESS already offline\n": {OK: true, Reason: "already offline"},
 	} {
 		if got := string(a.Append(nil)); got != want {
