--- /dev/null
+++ b/cmd/dunespoke/bans_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+func TestBansGoOverToTheNextProcess(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "bans")
+	if names, err := readBans(path); names != nil || err != nil {
+		t.Fatalf("no file: %q, %v", names, err)
+	}
+	if err := writeBans(path, []string{"s2", "s1"}); err != nil {
+		t.Fatal(err)
+	}
+	if names, err := readBans(path); !slices.Equal(names, []string{"s1", "s2"}) || err != nil {
+		t.Errorf("%q, %v", names, err)
+	}
+	if err := writeBans(path, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.Stat(path); !os.IsNotExist(err) {
+		t.Errorf("no bans left a file: %v", err)
+	}
+}
+
+// A file that is not a list of names is refused whole, with an error, and bans nothing.
+func TestAFileOfBansThatIsNoListIsRefused(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "bans")
+	for _, text := range []string{"s1\n\x00\n", strings.Repeat("x", 300) + "\n"} {
+		os.WriteFile(path, []byte(text), 0o600)
+		if names, err := readBans(path); names != nil || err == nil {
+			t.Errorf("%.20q: %q, %v", text, names, err)
+		}
+	}
+}
+
+func TestBansFilesAreNamedByTheClientsAddress(t *testing.T) {
+	a, b := bansFile("127.0.0.1:8080"), bansFile("[::1]:8080")
+	if a == b || filepath.Dir(a) != os.TempDir() || strings.ContainsAny(filepath.Base(b), "[]:") {
+		t.Errorf("%s, %s", a, b)
+	}
+}
--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -241,6 +241,7 @@
 	linger time.Time // when to stop dropping; zero before the last answer is out
 	leave  func()    // for the request being answered
 	begun  time.Time // when the request that is coming in began; zero if none is
+	fed    int       // bytes of it so far
 	out    []byte
 	ended  bool
 	count  int
@@ -271,9 +272,11 @@
 			c.advance()
 			switch coming := !c.busy && c.frames.Started(); {
 			case !coming:
-				c.begun = time.Time{}
+				c.begun, c.fed = time.Time{}, 0
 			case c.begun.IsZero(): // not anew with each byte, or a slow client would never end
-				c.begun = time.Now()
+				c.begun, c.fed = time.Now(), n
+			default:
+				c.fed += n
 			}
 			c.last = c.last || c.frames.Buffered() > mostAhead
 		}
@@ -301,13 +304,20 @@
 	case !c.linger.IsZero():
 		return c.linger
 	case c.count == 0:
-		return c.since.Add(requestWait)
+		return c.since.Add(requestWait + allowance(c.fed))
 	case c.begun.IsZero():
 		return time.Now().Add(idleWait)
 	}
-	return c.begun.Add(requestWait)
+	return c.begun.Add(requestWait + allowance(c.fed))
 }
 
+// slowest is the pace of a body that is still waited for: a client may send at 64 kB a second, and the head
+// alone may take it 2 s. What a request has sent so far adds to its time at half that pace, so that a loris
+// gains little and a request of the largest size at most 2.5 s.
+const slowest = 32 << 10
+
+func allowance(fed int) time.Duration { return time.Duration(fed) * time.Second / slowest }
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/net/accept/accept_test.go
+++ b/internal/net/accept/accept_test.go
@@ -274,3 +274,47 @@
 		t.Errorf("want four requests on a connection in\n%s", log)
 	}
 }
+
+// A client that takes 2 s for its head and sends its body at 48 kB a second is served: what it has sent buys it
+// time. One that trickles as slowly as the silent ones above is not.
+func TestSlowBodiesThatMoveAreTaken(t *testing.T) {
+	half := strings.Repeat("x", 24<<10)
+	serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
+		scenario.Play(t, n, map[string]string{"half": half}, `
+			client send POST /now HTTP/1.1\r\nHost: h\r\n
+			client wait 2s
+			client send Content-Length: 49152\r\n\r\n$half
+			client wait 600ms
+			client wait nothing
+			client send $half
+			client expect at once`)
+	})
+}
+
+// Told to leave, the server closes each connection with its answer but goes on taking new ones; told to join,
+// it keeps them open again.
+func TestLeaveEndsConnectionsUntilJoin(t *testing.T) {
+	serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
+		scenario.Play(t, n, nil, `
+			client1 send `+now+`
+			client1 expect at once`)
+		s.Leave()
+		scenario.Play(t, n, nil, `
+			client1 send `+now+`
+			client1 expect Connection: close
+			client1 wait closed
+			client2 send `+now+`
+			client2 expect Connection: close
+			client2 wait closed`)
+		s.Join()
+		scenario.Play(t, n, nil, `
+			client3 send `+now+`
+			client3 expect at once
+			client3 send `+now+`
+			client3 expect at once\n
+			client3 wait nothing`)
+		if s.Draining() {
+			t.Error("still draining after Join")
+		}
+	})
+}
--- a/internal/net/direct/direct_linux_test.go
+++ b/internal/net/direct/direct_linux_test.go
@@ -110,3 +110,22 @@
 		t.Errorf("past its deadline a read ends with %v", err)
 	}
 }
+
+// A second process of an upgrade listens at the address of the first while that still serves.
+func TestTheAddressIsShared(t *testing.T) {
+	first, err := Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	second, err := Listen("tcp", first.Addr().String())
+	if err != nil {
+		t.Fatalf("a second listener at the same address: %v", err)
+	}
+	second.Close()
+	c, err := net.Dial("tcp", first.Addr().String())
+	if err != nil {
+		t.Fatalf("the first listener no longer takes connections: %v", err)
+	}
+	c.Close()
+}
