--- a/cmd/dunespoke/mgmt.go
+++ b/cmd/dunespoke/mgmt.go
@@ -9,8 +9,8 @@
 	"dunespoke/internal/mgmt"
 )
 
-// mgmt starts where operators call. It is not one of package direct's listeners, since an upgrade gives the new
-// process an address of its own for it, and calls must reach the process they are meant for.
+// mgmt starts where operators call. It is not one of package direct's listeners, since an upgrade gives the
+// new process an address of its own for it, and calls must reach the process they are meant for.
 func (p *program) mgmt(addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -1,6 +1,6 @@
-// Package mgmt answers operators' calls on a line listener: one call a connection, a line such as "OFFLINE s3",
-// answered by a line that begins with SUCCESS or FAILURE, and closed. What a call does is the program's; this
-// package reads, bounds and writes.
+// Package mgmt answers operators' calls on a line listener: one call a connection, a line such as
+// "OFFLINE s3", answered by a line that begins with SUCCESS or FAILURE, and closed. What a call does is the
+// program's; this package reads, bounds and writes.
 package mgmt
 
 import (
--- a/internal/net/accept/accept_test.go
+++ b/internal/net/accept/accept_test.go
@@ -275,8 +275,8 @@
 	}
 }
 
-// A client that takes 2 s for its head and sends its body at 48 kB a second is served: what it has sent buys it
-// time. One that trickles as slowly as the silent ones above is not.
+// A client that takes 2 s for its head and sends its body at 48 kB a second is served: what it has sent buys
+// it time. One that trickles as slowly as the silent ones above is not.
 func TestSlowBodiesThatMoveAreTaken(t *testing.T) {
 	half := strings.Repeat("x", 24<<10)
 	serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
