--- a/agentcheck/agentcheck.go
+++ b/agentcheck/agentcheck.go
@@ -4,11 +4,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"time"
+
+	"dunespoke/internal/listen"
 )
 
 // State is what a balancer is told.
@@ -45,22 +46,11 @@
 // Serve answers agent checks on a listener until the context ends: one line for a connection, which then
 // closes. What a checker sends (HAProxy's agent-send) is not looked at.
 func Serve(ctx context.Context, l net.Listener, report func() Report) error {
-	defer context.AfterFunc(ctx, func() { l.Close() })()
-	for {
-		c, err := l.Accept()
-		switch {
-		case ctx.Err() != nil:
-			return nil
-		case errors.Is(err, net.ErrClosed):
-			return fmt.Errorf("agent check: %w", err)
-		case err != nil: // short of descriptors: the next check is seconds away
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
+	return listen.Each(ctx, l, "agent check", func(c net.Conn) {
 		c.SetWriteDeadline(time.Now().Add(writeWait))
 		c.Write([]byte(report().Line()))
 		c.Close()
-	}
+	})
 }
 
 // Health answers 200 as long as the program runs and may be left alone: draining is healthy.
--- /dev/null
+++ b/internal/listen/listen_test.go
@@ -0,0 +1,35 @@
+package listen
+
+import (
+	"context"
+	"net"
+	"testing"
+)
+
+func TestEachEndsWithItsContextAndFailsWithoutIt(t *testing.T) {
+	for _, byContext := range []bool{true, false} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, end := context.WithCancel(t.Context())
+		taken := make(chan net.Conn)
+		ended := make(chan error)
+		go func() { ended <- Each(ctx, l, "test", func(c net.Conn) { taken <- c }) }()
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		(<-taken).Close()
+		c.Close()
+		if byContext {
+			end()
+		} else {
+			l.Close()
+		}
+		if err := <-ended; (err == nil) != byContext {
+			t.Errorf("ended by the context %v: %v", byContext, err)
+		}
+		end()
+	}
+}
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -13,6 +13,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"dunespoke/internal/listen"
 )
 
 // Answer is what a call gets: a verdict, a reason on its line, and lines after it, such as figures.
@@ -61,19 +63,8 @@
 
 // Serve answers calls on a listener until the context ends.
 func Serve(ctx context.Context, l net.Listener, h Handler) error {
-	defer context.AfterFunc(ctx, func() { l.Close() })()
 	slots := make(chan struct{}, callers)
-	for {
-		c, err := l.Accept()
-		switch {
-		case ctx.Err() != nil:
-			return nil
-		case errors.Is(err, net.ErrClosed):
-			return fmt.Errorf("mgmt: %w", err)
-		case err != nil: // short of descriptors for a moment
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
+	return listen.Each(ctx, l, "mgmt", func(c net.Conn) {
 		c.SetDeadline(time.Now().Add(callWait))
 		select {
 		case slots <- struct{}{}:
@@ -85,7 +76,7 @@
 			c.Write(Fail("busy").Append(nil))
 			c.Close()
 		}
-	}
+	})
 }
 
 // call reads one line and answers it.
