Name the form of the file of bans that an upgrade hands over; ignore another with a line

The process of an upgrade reads bans from the temporary directory; a file of an older or newer form, or one that is no list of names, must be ignored with a line rather than read wrongly.

Tests: files of another form and of no names are refused whole.

--- a/cmd/dunespoke/bans.go
+++ b/cmd/dunespoke/bans.go
@@ -22,6 +22,9 @@
 	return filepath.Join(os.TempDir(), "dunespoke-bans-"+clean)
 }
 
+// bansForm is the file's first line: a file of another form, older or newer, is not read.
+const bansForm = "dunespoke bans 1"
+
 // Bounds on the file, which anyone who can write the directory may have written.
 const (
 	bansMost    = 4096
@@ -37,8 +40,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("bans: %w", err)
 	}
+	form, rest, _ := strings.Cut(string(text), "\n")
+	if form != bansForm {
+		return nil, fmt.Errorf("bans %s: the file is not of the form %q", path, bansForm)
+	}
 	var names []string
-	for _, line := range strings.Split(string(text), "\n") {
+	for _, line := range strings.Split(rest, "\n") {
 		name := strings.TrimSpace(line)
 		if name == "" {
 			continue
@@ -65,7 +72,7 @@
 	if err != nil {
 		return fmt.Errorf("bans: %w", err)
 	}
-	_, err = f.WriteString(strings.Join(names, "\n") + "\n")
+	_, err = f.WriteString(bansForm + "\n" + strings.Join(names, "\n") + "\n")
 	if cerr := f.Close(); err == nil {
 		err = cerr
 	}
--- a/cmd/dunespoke/bans_test.go
+++ b/cmd/dunespoke/bans_test.go
@@ -30,7 +30,8 @@
 // A file that is not a list of names is refused whole, with an error, and bans nothing.
 func TestAFileOfBansThatIsNoListIsRefused(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "bans")
-	for _, text := range []string{"s1\n\x00\n", strings.Repeat("x", 300) + "\n"} {
+	for _, text := range []string{bansForm + "\ns1\n\x00\n", bansForm + "\n" + strings.Repeat("x", 300) + "\n",
+		"s1\ns2\n", "dunespoke bans 0\ns1\n"} {
 		os.WriteFile(path, []byte(text), 0o600)
 		if names, err := readBans(path); names != nil || err == nil {
 			t.Errorf("%.20q: %q, %v", text, names, err)
