--- a/core/bans.go
+++ b/core/bans.go
@@ -2,9 +2,6 @@
 
 import "dunespoke/choice"
 
-// Figures returns the core's figures.
-func (c *Core) Figures() *Figures { return c.figures }
-
 // Ban takes a server out of rotation by name, or puts it back, whatever the list says of it: to the gate it
 // drains. The ban is kept while the server is gone from the list, and over its restarts. The answer, on a
 // channel of one, is false for a name that the list has never held; it is sent on the core's goroutine.
--- a/core/figures.go
+++ b/core/figures.go
@@ -15,6 +15,9 @@
 // tally is one class's figures.
 type tally struct{ fulfilled, throttled, faulted atomic.Int64 }
 
+// Figures returns the core's figures.
+func (c *Core) Figures() *Figures { return c.figures }
+
 func newFigures(classes []string) *Figures {
 	f := &Figures{classes: map[string]*tally{}}
 	for _, c := range classes {
