Hold long bodies until they are whole, and pass long answers on as they come

Design: requests go to a store of a quarter of the memory until their last byte has come, so that the gate hears of them when their time begins; answers are held up to 64 KiB and passed on beyond.

Change: the platform's front is an accept.Streamer; flow.Store, transfer.Stored, forward's Hold; a request whose only attempts never ran is refused, not failed, when no other can be made; the time a client takes to send is no part of an attempt's time; the rest of a refused body is read at its pace.

--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -21,7 +21,7 @@
 	"dunespoke/front/gateway"
 	"dunespoke/front/platform"
 	"dunespoke/internal/config"
-	"dunespoke/internal/http1"
+	"dunespoke/internal/flow"
 	"dunespoke/internal/net/accept"
 	"dunespoke/internal/net/counter"
 	"dunespoke/internal/net/direct"
@@ -229,12 +229,28 @@
 // pieces; one of which nothing more comes would hold its request until the deadline, for nothing.
 const stall = 500 * time.Millisecond
 
-// answerLimits bound app servers' answers. Some hold more than the 64 KiB of the protocol; what a program of
-// little memory can hold of them, with all connections in use, is less than one of much.
-func answerLimits(l config.Limits) http1.Limits {
-	limits := http1.DefaultLimits
-	limits.Body = max(limits.Body, int(min(max(l.MemoryMB, 0)<<13, 1<<20)))
-	return limits
+// holdMost is how much of an app server's answer is held until it is whole: one that breaks off before can be
+// asked for again. Longer ones are passed on as they come.
+const holdMost = 64 << 10
+
+// The parts of the memory that bodies may take on the platform's front: those held until they are whole, and
+// those passed on as they come, in both directions.
+const (
+	storePart     = 0.25
+	transfersPart = 0.125
+)
+
+// memory is what the platform's front may use in all, in bytes.
+func memory(l config.Limits) float64 {
+	if l.MemoryMB <= 0 {
+		return 256 << 20
+	}
+	return float64(l.MemoryMB << 20)
+}
+
+// transfers bound the memory of long bodies.
+func transfers(l config.Limits) flow.Options {
+	return flow.Options{Bytes: int(transfersPart * memory(l)), Window: 128 << 10, Least: 16 << 10}
 }
 
 // platform starts the platform's front and all that stands behind it.
@@ -247,7 +263,7 @@
 	}
 	c, err := p.core(conf.Settings, uint64(conf.Seed), conf.Counter, forward.Config{
 		DialTimeout: conf.Settings.DialTimeout, KeepAlive: conf.KeepAlive, Connections: share.servers,
-		Stall: stall, Judge: platform.Judge, Limits: answerLimits(conf.Limits)})
+		Stall: stall, Judge: platform.Judge, Streams: platform.JudgeHead, Hold: holdMost})
 	if err != nil {
 		return err
 	}
@@ -262,7 +278,15 @@
 		p.dial, p.log)
 	go p.watcher.Run(p.work, known)
 	p.ready = append(p.ready, c.Ready)
-	return p.serve(conf.Listen, platform.New(c, conf.Settings, p.draining, guard), share.clients, nil)
+	front := platform.New(c, conf.Settings, p.draining, guard, flow.NewBudget(transfers(conf.Limits)))
+	l, err := p.listener(conf.Listen, nil)
+	if err != nil {
+		return err
+	}
+	streams := accept.Platform
+	streams.Store = flow.NewStore(int(storePart * memory(conf.Limits)))
+	p.take(accept.NewStreams(l, front, share.clients, streams, p.log), conf.Listen, share.clients, nil)
+	return nil
 }
 
 // core starts a core with its upstream and its counter.
--- a/core/request.go
+++ b/core/request.go
@@ -11,6 +11,7 @@
 	Request
 	id       uint64
 	done     bool // it has its final answer, or the client left
+	ran      bool // an attempt may have run
 	attempts []*attempt
 	out      int
 }
@@ -87,12 +88,15 @@
 	}
 	at.ended = true
 	r.out--
+	r.ran = r.ran || !neverRan(res.Code)
 	if res.Code != choice.Refused && res.Code != choice.Skipped { // written whole: the server has seen it
 		c.figures.relay()
 	}
 	switch {
 	case res.Code == choice.OK:
 		c.answer(r, Answer{Kind: Served, Body: res.Body})
+	case res.Final && !r.ran:
+		c.answer(r, Answer{Kind: Refused})
 	case res.Final:
 		c.answer(r, Answer{Kind: Failed})
 	}
@@ -100,7 +104,12 @@
 	c.forget(r)
 	now := c.Now()
 	c.gate.Outcome(now, choice.Outcome{Request: r.id, Attempt: at.number, Backend: at.server, Code: res.Code,
-		Took: now - at.sent, Ended: ended, Units: res.Units, Load: res.Load})
+		Took: max(0, now-at.sent-res.Sending), Ended: ended, Units: res.Units, Load: res.Load})
+}
+
+// neverRan reports whether an attempt that ended so has not run.
+func neverRan(code choice.Code) bool {
+	return code == choice.Refused || code == choice.Skipped || code == choice.Busy
 }
 
 // abort closes an attempt's connection and then reports its end. What was never written whole can't have
--- /dev/null
+++ b/front/platform/message.go
@@ -0,0 +1,116 @@
+package platform
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"dunespoke/choice"
+	"dunespoke/core"
+	"dunespoke/internal/flow"
+	"dunespoke/internal/http1"
+	"dunespoke/internal/net/transfer"
+)
+
+// message is a request as app servers get it: what identifies it passes on unchanged. It is a
+// forward.Streamed.
+type message struct {
+	id                             uint64 // that of txn
+	method, target, txn, key, kind string
+	upload                         *transfer.Upload
+	terms                          transfer.Terms
+	wait                           time.Duration // what an app server has for it; 0: as the attempt has
+}
+
+// slowest is the pace of a body that is still waited for: clients may send and take at 64 kB a second.
+const slowest = 32 << 10
+
+// terms are what every exchange is held to. App servers begin once a request is whole. What one is still
+// giving is not cut off: only one that stands still for long is given up.
+var terms = transfer.Terms{
+	ClientUp:   flow.Pace{Least: slowest, Grace: 2500 * time.Millisecond},
+	ClientDown: flow.Pace{Least: slowest, Grace: 5 * time.Second},
+	ServerUp:   flow.Pace{Stall: 5 * time.Second},
+	ServerDown: flow.Pace{Stall: 10 * time.Second},
+	Whole:      true,
+}
+
+// longest is the most that clients send.
+const longest = 32 << 20
+
+// uploadTime is the most that a client may take for a body of so many bytes; -1: not told.
+func uploadTime(length int64) time.Duration {
+	if length < 0 {
+		length = longest
+	}
+	return terms.ClientUp.Grace + time.Duration(float64(length)/slowest*float64(time.Second))
+}
+
+// Append writes the head.
+func (m *message) Append(buf []byte, _ core.Server, wait time.Duration) []byte {
+	if m.wait > 0 {
+		wait = m.wait
+	}
+	buf = append(buf, m.method...)
+	buf = append(buf, ' ')
+	buf = append(buf, m.target...)
+	buf = append(buf, " HTTP/1.1\r\nHost: backend.local\r\nX-Remaining: "...)
+	buf = strconv.AppendFloat(buf, wait.Seconds(), 'f', 3, 64)
+	buf = append(buf, "\r\n"...)
+	buf = http1.AppendHeader(buf, "X-Txn", m.txn)
+	if m.key != "" {
+		buf = http1.AppendHeader(buf, "Idempotency-Key", m.key)
+	}
+	if m.kind != "" {
+		buf = http1.AppendHeader(buf, "Content-Type", m.kind)
+	}
+	switch n := m.upload.Length(); {
+	case n < 0:
+		buf = http1.AppendHeader(buf, "Transfer-Encoding", "chunked")
+	case m.method != http.MethodGet:
+		buf = http1.AppendHeader(buf, "Content-Length", strconv.FormatInt(n, 10))
+	}
+	return append(buf, "\r\n"...)
+}
+
+// Upload is the body.
+func (m *message) Upload() *transfer.Upload { return m.upload }
+
+// Terms are what the exchange is held to.
+func (m *message) Terms() *transfer.Terms { return &m.terms }
+
+// Method is the request's.
+func (m *message) Method() string { return m.method }
+
+// Judge says what a whole answer of an app server means.
+func Judge(r *http1.Response) core.Result {
+	code := verdict(r.Response)
+	if code != choice.OK {
+		return core.Result{Code: code}
+	}
+	answer := &http1.Answer{Status: 200, Body: r.Content}
+	if kind := r.Header.Get("Content-Type"); kind != "" {
+		answer.Header = [][2]string{{"Content-Type", kind}}
+	}
+	return core.Result{Code: code, Body: answer}
+}
+
+// JudgeHead says what an answer means that is too long to be held, and leaves of its header what goes on.
+func JudgeHead(r *http.Response) choice.Code {
+	code, kind := verdict(r), r.Header["Content-Type"]
+	clear(r.Header)
+	if len(kind) > 0 {
+		r.Header["Content-Type"] = kind[:1]
+	}
+	return code
+}
+
+func verdict(r *http.Response) choice.Code {
+	switch {
+	case r.StatusCode == 200:
+		return choice.OK
+	case (r.StatusCode == 503 || r.StatusCode == 504) && r.Header.Get("X-Turned-Away") == "1":
+		return choice.Busy
+	}
+	return choice.Error
+}
--- a/front/platform/platform.go
+++ b/front/platform/platform.go
@@ -14,7 +14,10 @@
 
 	"dunespoke/choice"
 	"dunespoke/core"
+	"dunespoke/internal/flow"
 	"dunespoke/internal/http1"
+	"dunespoke/internal/net/accept"
+	"dunespoke/internal/net/transfer"
 )
 
 // margin is how long before the client gives up its answer is due. The way from an answer to the client took
@@ -26,7 +29,7 @@
 // other fronts count.
 const customers = 1 << 33
 
-// Front answers the platform's clients. It is an accept.Handler.
+// Front answers the platform's clients. It is an accept.Streamer.
 type Front struct {
 	core     *core.Core
 	classes  map[string]choice.Class
@@ -36,14 +39,18 @@
 	draining func() bool
 	guard    Guard
 
+	budget *flow.Budget
+
 	mu   sync.Mutex
 	open map[uint64]struct{} // ids of the requests that are being answered
 }
 
-// New returns a front for a core with the given settings. The guard may be nil.
-func New(c *core.Core, set choice.Settings, draining func() bool, guard Guard) *Front {
+// New returns a front for a core with the given settings. The guard may be nil. Long bodies move within the
+// budget.
+func New(c *core.Core, set choice.Settings, draining func() bool, guard Guard, budget *flow.Budget) *Front {
 	f := &Front{core: c, guard: guard, classes: map[string]choice.Class{}, plans: map[string]bool{},
-		gateways: set.Gateways, units: cmp.Or(set.MaxUnits, 1e9), draining: draining, open: map[uint64]struct{}{}}
+		gateways: set.Gateways, units: cmp.Or(set.MaxUnits, 1e9), draining: draining, open: map[uint64]struct{}{},
+		budget: budget}
 	for _, k := range set.Classes {
 		f.classes[k.Name] = k
 	}
@@ -53,29 +60,51 @@
 	return f
 }
 
-// Serve takes a request of a client.
-func (f *Front) Serve(r *http1.Request, respond func(*http1.Answer)) (leave func()) {
+// Stream takes a request of a client.
+func (f *Front) Stream(x *accept.Exchange) (leave func()) {
+	r := &http1.Request{Request: x.Request, Peer: x.Peer}
 	if r.URL.Path == "/healthz" {
-		respond(f.health(r))
+		x.Answer(f.health(r))
 		return nil
 	}
 	now := f.core.Now()
-	in, problem := f.read(r)
+	in, problem := f.read(r, x.Upload.Length())
 	if problem != nil {
-		respond(problem)
+		x.Answer(problem)
 		return nil
 	}
-	id := in.Payload.(*message).id
-	if !f.begin(id) {
-		respond(http1.Plain(409, "X-Txn: that request is still being answered"))
+	m := in.Payload.(*message)
+	m.terms = terms
+	if x.Long {
+		room, after := f.budget.Admit(now)
+		if room == nil {
+			x.Answer(Translate(core.Answer{Kind: core.Refused, RetryAfter: after}))
+			return nil
+		}
+		x.Hold(&m.terms, room, 0, f.core.Now)
+		m.wait, m.terms.Head = in.Deadline, in.Deadline
+		in.Deadline += uploadTime(x.Upload.Length()) // the client's time counts from its last byte
+	} else {
+		x.Hold(&m.terms, nil, 0, f.core.Now)
+	}
+	m.upload = x.Upload
+	if !f.begin(m.id) {
+		x.Answer(http1.Plain(409, "X-Txn: that request is still being answered"))
 		return nil
 	}
 	in.Deadline += now
 	answer := func(a *http1.Answer) {
-		f.end(id)
-		respond(a)
+		f.end(m.id)
+		x.Answer(a)
+	}
+	in.Reply = func(a core.Answer) {
+		if long, ok := a.Body.(*transfer.Reply); ok {
+			f.end(m.id)
+			f.pass(x, long)
+			return
+		}
+		answer(Translate(a))
 	}
-	in.Reply = func(a core.Answer) { answer(Translate(a)) }
 	var left func()
 	if f.guard != nil {
 		left = f.throughGuard(r, in, answer)
@@ -83,11 +112,19 @@
 		left = f.core.Submit(in).Leave
 	}
 	return func() {
-		f.end(id)
+		f.end(m.id)
 		left()
 	}
 }
 
+// pass passes a long answer on. Without room it goes on all the same, in small pieces.
+func (f *Front) pass(x *accept.Exchange, r *transfer.Reply) {
+	if room, _ := f.budget.Admit(f.core.Now()); room != nil {
+		x.Widen(room, f.core.Now)
+	}
+	x.Pass(r)
+}
+
 // begin notes that a request is being answered. It reports false if one with the same id is: app servers know
 // requests by their ids, and would take the two for one.
 func (f *Front) begin(id uint64) bool {
@@ -141,7 +178,7 @@
 }
 
 // read checks a message and makes the core's request of it, with its deadline counted from the arrival.
-func (f *Front) read(r *http1.Request) (core.Request, *http1.Answer) {
+func (f *Front) read(r *http1.Request, length int64) (core.Request, *http1.Answer) {
 	bad := func(what string) (core.Request, *http1.Answer) { return core.Request{}, http1.Plain(400, what) }
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	class, known := f.classes[name]
@@ -183,7 +220,7 @@
 		return bad("X-Contract: unknown")
 	case (class.Repeat == choice.Keyed) != (key != ""):
 		return bad("Idempotency-Key: for the classes that carry one, and no others")
-	case class.Repeat == choice.Safe && len(r.Content) > 0:
+	case class.Repeat == choice.Safe && length != 0:
 		return bad("a body where the class has none")
 	}
 	left, ok := http1.Decimal(r.Header.Get("X-Remaining"))
@@ -196,7 +233,7 @@
 		return bad("X-Metering: want units, spread and first")
 	}
 	in.Payload = &message{id: id, method: r.Method, target: r.RequestURI, txn: txn, key: key,
-		kind: r.Header.Get("Content-Type"), body: r.Content}
+		kind: r.Header.Get("Content-Type")}
 	return in, nil
 }
 
@@ -235,47 +272,3 @@
 	in.Units, in.Spread = units, int(spread)
 	return true
 }
-
-// message is a request as app servers get it: what identifies it passes on unchanged.
-type message struct {
-	id                             uint64 // that of txn
-	method, target, txn, key, kind string
-	body                           []byte
-}
-
-// Append writes the message.
-func (m *message) Append(buf []byte, s core.Server, wait time.Duration) []byte {
-	buf = append(buf, m.method...)
-	buf = append(buf, ' ')
-	buf = append(buf, m.target...)
-	buf = append(buf, " HTTP/1.1\r\nHost: backend.local\r\nX-Remaining: "...)
-	buf = strconv.AppendFloat(buf, wait.Seconds(), 'f', 3, 64)
-	buf = append(buf, "\r\n"...)
-	buf = http1.AppendHeader(buf, "X-Txn", m.txn)
-	if m.key != "" {
-		buf = http1.AppendHeader(buf, "Idempotency-Key", m.key)
-	}
-	if m.kind != "" {
-		buf = http1.AppendHeader(buf, "Content-Type", m.kind)
-	}
-	if m.method != http.MethodGet {
-		buf = http1.AppendHeader(buf, "Content-Length", strconv.Itoa(len(m.body)))
-	}
-	buf = append(buf, "\r\n"...)
-	return append(buf, m.body...)
-}
-
-// Judge says what an app server's response means.
-func Judge(r *http1.Response) core.Result {
-	switch {
-	case r.StatusCode == 200:
-		answer := &http1.Answer{Status: 200, Body: r.Content}
-		if kind := r.Header.Get("Content-Type"); kind != "" {
-			answer.Header = [][2]string{{"Content-Type", kind}}
-		}
-		return core.Result{Code: choice.OK, Body: answer}
-	case (r.StatusCode == 503 || r.StatusCode == 504) && r.Header.Get("X-Turned-Away") == "1":
-		return core.Result{Code: choice.Busy}
-	}
-	return core.Result{Code: choice.Error}
-}
--- a/internal/net/accept/accept_test.go
+++ b/internal/net/accept/accept_test.go
@@ -234,6 +234,40 @@
 	s.Drain()
 }
 
+// refuser answers every request at once, however much of its body is yet to come.
+type refuser struct{}
+
+func (refuser) Stream(x *Exchange) func() {
+	x.Answer(http1.Plain(429, "not now"))
+	return nil
+}
+
+// A client that sends all of a long body before it reads gets the answer that was given at its head.
+func TestTheRestOfARefusedBodyIsRead(t *testing.T) {
+	l, err := direct.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewStreams(l, refuser{}, 2, Platform, zerolog.Nop())
+	go s.Serve()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Write([]byte("POST /now HTTP/1.1\r\nHost: h\r\nContent-Length: 20000000\r\n\r\n"))
+	for range 20 {
+		if _, err := c.Write(make([]byte, 1000000)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := io.ReadAll(c)
+	if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 429") {
+		t.Errorf("%q, %v", got, err)
+	}
+	c.Close()
+	s.Drain()
+}
+
 func TestTheLongestIdleMakesRoom(t *testing.T) {
 	log := serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
 		time.AfterFunc(1500*time.Millisecond, h.release)
--- a/internal/net/accept/stream.go
+++ b/internal/net/accept/stream.go
@@ -34,8 +34,19 @@
 	Wait  time.Duration // for a request's head and a short body
 	Idle  time.Duration // between requests
 	Drain time.Duration // for which exchanges may go on once the server drains; 0: any time
+	// Store, if set, takes bodies over Short, and those that don't tell their length, before the Streamer gets
+	// the request, as long as it has room. Those that wait to be asked for are asked for then.
+	Store *flow.Store
+	// Rest is how fast the rest of a body has to come whose request was answered before its end. It is read
+	// and dropped, since a client that sends all before it reads would not see the answer. The zero Pace:
+	// what comes within lingerWait.
+	Rest flow.Pace
 }
 
+// Platform is how the platform's clients are taken: heads within 2.5 s, and bodies at 32 kB a second or more.
+var Platform = Streams{Head: http1.DefaultLimits.Head, Short: http1.DefaultLimits.Body, Wait: requestWait,
+	Idle: idleWait, Rest: flow.Pace{Least: slowest, Grace: requestWait}}
+
 // NewStreams returns a server for a Streamer, as New does for a Handler.
 func NewStreams(l net.Listener, h Streamer, connections int, o Streams,
 	log zerolog.Logger) *Server {
@@ -55,7 +66,8 @@
 	terms  *transfer.Terms
 	room   *flow.Transfer
 	clock  func() time.Duration
-	expect bool // 100 Continue
+	expect bool   // 100 Continue
+	prefix []byte // of a long body, for which the store had no room
 	leave  func()
 	whole  bool          // the request has come to its end
 	answer *http1.Answer // instead of one that says that there is none; nil: as given
@@ -81,11 +93,24 @@
 	x.c.mu.Lock()
 	defer x.c.mu.Unlock()
 	x.terms, x.room, x.clock = t, room, clock
-	if x.Long {
+	if x.Long && x.prefix == nil {
 		x.Upload = transfer.Coming(x.Upload.Length(), room, replay)
 	}
 }
 
+// Widen lets an answer that is about to be passed on move by a room, unless the exchange has one. It is for
+// the caller of Pass, before that; the room is closed with the exchange.
+func (x *Exchange) Widen(room *flow.Transfer, clock func() time.Duration) {
+	x.c.mu.Lock()
+	defer x.c.mu.Unlock()
+	switch {
+	case x.c.ended || x.c.x != x:
+		room.Close(clock())
+	case x.room == nil:
+		x.room, x.clock = room, clock
+	}
+}
+
 // Answer gives a whole answer. It does not block.
 func (x *Exchange) Answer(a *http1.Answer) { go x.c.respond(x, a) }
 
@@ -119,6 +144,7 @@
 	count    int
 	used     time.Time // when the last answer was out, or the connection taken
 	begun    time.Time // when the request that is coming in began; zero if none is
+	fed      int       // bytes of it so far
 	linger   time.Time // until when what comes is dropped; zero before the last answer is out
 	up, down int64     // bytes of bodies
 	out      []byte
@@ -160,10 +186,15 @@
 func (c *stream) fill() bool {
 	c.nc.SetReadDeadline(c.deadline())
 	n, err := c.nc.Read(c.buf)
+	if n == 0 && isTimeout(err) { // what has come meanwhile is read all the same
+		c.nc.SetReadDeadline(time.Now().Add(lateWait))
+		n, err = c.nc.Read(c.buf)
+	}
 	if n > 0 {
 		c.pieces.Feed(c.buf[:n])
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		c.fed += n
 		if c.begun.IsZero() { // not anew with each byte, or a slow client would never end
 			c.begun = time.Now()
 		}
@@ -192,11 +223,11 @@
 	defer c.mu.Unlock()
 	switch {
 	case c.count == 0:
-		return c.since.Add(c.s.streams.Wait)
+		return c.since.Add(c.s.streams.Wait + allowance(c.fed))
 	case c.begun.IsZero():
 		return time.Now().Add(c.s.streams.Idle)
 	}
-	return c.begun.Add(c.s.streams.Wait)
+	return c.begun.Add(c.s.streams.Wait + allowance(c.fed))
 }
 
 // request takes a request from its head on until it is answered. It reports whether to read on.
@@ -208,22 +239,35 @@
 	}
 	x.expect = r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 	length := c.pieces.Length()
-	x.Long = length < 0 || length > int64(c.s.streams.Short) || x.expect && length != 0
-	if x.Long {
-		x.Upload = transfer.Coming(length, nil, 0)
-	} else {
+	short := length >= 0 && length <= int64(c.s.streams.Short)
+	store := c.s.streams.Store
+	switch {
+	case short && (!x.expect || length == 0 || store != nil):
+		if x.expect && length > 0 {
+			c.proceed(x)
+		}
 		body, ok := c.collect(int(length))
 		if !ok {
 			return false
 		}
 		x.Upload, x.whole = transfer.Whole(body), true
+	case store != nil && store.Fits(length):
+		if x.expect {
+			c.proceed(x)
+		}
+		if !c.store(x, length) {
+			return false
+		}
+	default:
+		x.Upload, x.Long = transfer.Coming(length, nil, 0), true
 	}
 	c.mu.Lock()
 	if c.ended {
 		c.mu.Unlock()
+		x.Upload.Over()
 		return false
 	}
-	c.x, c.begun = x, time.Time{}
+	c.x, c.begun, c.fed = x, time.Time{}, 0
 	c.count++
 	c.last = r.Close || !r.ProtoAtLeast(1, 1)
 	c.mu.Unlock()
@@ -244,9 +288,11 @@
 	return c.await(x)
 }
 
+// keepMost is the most memory that a body is given before it has come.
+const keepMost = 16 << 10
+
 // collect reads a short body.
-func (c *stream) collect(length int) ([]byte, bool) {
-	var body []byte
+func (c *stream) collect(length int) (body []byte, ok bool) {
 	for {
 		kind, piece, err := c.pieces.Next()
 		switch {
@@ -255,7 +301,7 @@
 			return nil, false
 		case kind == http1.Data:
 			if body == nil {
-				body = make([]byte, 0, length)
+				body = make([]byte, 0, max(min(length, keepMost), len(piece)))
 			}
 			body = append(body, piece...)
 		case kind == http1.End:
@@ -266,14 +312,49 @@
 	}
 }
 
+// store reads a body into the store, to its end or as far as there is room. It reports whether the connection
+// is still there.
+func (c *stream) store(x *Exchange, length int64) bool {
+	up := transfer.Stored(c.s.streams.Store)
+	for {
+		kind, piece, err := c.pieces.Next()
+		switch {
+		case err != nil:
+			up.Over()
+			c.refuse(err)
+			return false
+		case kind == http1.Data && !up.Store(piece):
+			up.Flow(length)
+			x.Upload, x.Long, x.prefix = up, true, bytes.Clone(piece)
+			return true
+		case kind == http1.Data:
+			x.up.Add(int64(len(piece)))
+		case kind == http1.End:
+			up.End(nil)
+			x.Upload, x.whole = up, true
+			return true
+		case kind == http1.More && !c.fill():
+			up.Over()
+			return false
+		}
+	}
+}
+
 // upload passes a body on, as it comes and as it is taken. It reports whether the connection is still there.
 func (c *stream) upload(x *Exchange) bool {
 	if x.Upload.Wait() != nil {
 		return true // nobody takes it
 	}
-	if x.expect {
+	if x.expect && x.prefix == nil {
 		c.proceed(x)
 	}
+	if len(x.prefix) > 0 {
+		x.up.Add(int64(len(x.prefix)))
+		if x.Upload.Write(x.prefix) != nil {
+			return true
+		}
+		x.prefix = nil
+	}
 	side := transfer.NewSide(c.nc, x.terms.ClientUp)
 	c.nc.SetReadDeadline(time.Time{})
 	window := transfer.NewWindow(x.room, flow.Up, c.buf)
@@ -323,6 +404,8 @@
 		case over != nil:
 			return true
 		case err == nil || n > 0:
+		case isTimeout(err) && c.answered(x):
+			return true
 		case errors.As(err, &slow):
 			c.spoil(x, &http1.Error{Status: 408, Reason: "upload-" + slow.Error()})
 			return true
@@ -336,6 +419,13 @@
 	}
 }
 
+// answered reports whether an exchange is over.
+func (c *stream) answered(x *Exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.x != x
+}
+
 // spoil ends a request in whose body something is wrong. What has left of it ends at the server as broken
 // off.
 func (c *stream) spoil(x *Exchange, err error) {
@@ -349,7 +439,7 @@
 func (c *stream) proceed(x *Exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.x != x || x.told {
+	if c.ended || c.x != nil && c.x != x || x.told {
 		return
 	}
 	c.nc.SetWriteDeadline(time.Now().Add(answerWait))
@@ -400,17 +490,25 @@
 	}
 }
 
-// drop reads what a client still sends after its last answer, for a while.
+// drop reads what a client still sends after its last answer, for a while, or to the body's end at its pace.
 func (c *stream) drop() {
-	for spilt := 0; spilt <= lingerMost; {
-		n, err := c.nc.Read(c.buf)
-		if spilt += n; err != nil {
+	read, most := c.nc.Read, int64(lingerMost)
+	if c.s.streams.Rest != (flow.Pace{}) {
+		c.nc.SetReadDeadline(time.Time{})
+		read, most = transfer.NewSide(c.nc, c.s.streams.Rest).Read, restMost
+	}
+	for spilt := int64(0); spilt <= most; {
+		n, err := read(c.buf)
+		if spilt += int64(n); err != nil {
 			break
 		}
 	}
 	c.cut("answered-last")
 }
 
+// restMost bounds the rest of a body that is dropped: twice the longest that the platform's clients send.
+const restMost = 64 << 20
+
 // refuse answers what can't be read, or came too slowly. Nothing more is read after it.
 func (c *stream) refuse(err error) {
 	c.mu.Lock()
@@ -484,7 +582,11 @@
 		c.end("answered-last")
 	default: // the client may still be sending
 		c.linger = c.used.Add(lingerWait)
-		c.nc.SetReadDeadline(c.linger)
+		if c.s.streams.Rest == (flow.Pace{}) {
+			c.nc.SetReadDeadline(c.linger)
+		} else { // the reader may be waiting by a deadline of the upload
+			c.nc.SetReadDeadline(c.used)
+		}
 	}
 }
 
--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -41,6 +41,7 @@
 	Stall       time.Duration // how long an answer that has begun may stand still; 0: any time
 	Judge       Judge
 	Streams     JudgeHead // if set, answers are passed on as they come, and payloads are Streamed
+	Hold        int       // with Streams: answers of at most so many bytes are held, for Judge to see them whole
 	Limits      http1.Limits
 	Log         zerolog.Logger
 }
@@ -247,7 +248,7 @@
 	c, cancel := x.conn, x.cancel
 	x.mu.Unlock()
 	if x.stream != nil {
-		mayHaveRun = mayHaveRun || x.stream.lost()
+		mayHaveRun = (mayHaveRun || x.stream.lost()) && !x.stream.unsent()
 		x.stream.detach()
 	}
 	if cancel != nil {
@@ -376,9 +377,11 @@
 	used  time.Time // when it last became idle; the pool's lock guards it
 
 	mu      sync.Mutex
-	frames  *http1.Framer // of answers held whole; else nil
-	pieces  *http1.Pieces // of those passed on; else nil
-	interim [][]byte      // 1xx answers before the one awaited
+	frames  *http1.Framer  // of answers held whole; else nil
+	pieces  *http1.Pieces  // of those passed on; else nil
+	interim [][]byte       // 1xx answers before the one awaited
+	head    *http.Response // of the answer that is being held; nil: none is. The reader's
+	held    []byte         // and what has come of its body
 	parser  http1.Parser
 	out     []byte
 	x       *exchange // nil while idle
--- a/internal/net/forward/stream.go
+++ b/internal/net/forward/stream.go
@@ -35,6 +35,8 @@
 	long   bool // its body did not go with the head
 	chunks bool // it has no known length
 	side   *transfer.Side
+	start  time.Time
+	spent  atomic.Int64 // ns until the body's end had gone; 0: it went with the head, or has not gone
 	due    atomic.Int64 // Unix time in ns by which the answer's head has to come; 0: the core sees to it
 
 	mu       sync.Mutex
@@ -47,7 +49,7 @@
 func (s *streaming) Last() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.answered {
+	if s.answered || s.terms.Whole {
 		return
 	}
 	s.x.mu.Lock()
@@ -83,7 +85,7 @@
 // streams makes ready, or ends the attempt because the body is gone.
 func (x *exchange) streams() bool {
 	m := x.Payload.(Streamed)
-	x.stream = &streaming{x: x, up: m.Upload(), terms: m.Terms(), method: m.Method()}
+	x.stream = &streaming{x: x, up: m.Upload(), terms: m.Terms(), method: m.Method(), start: time.Now()}
 	x.stream.head = x.stream.method == http.MethodHead
 	if x.stream.up.Lost() {
 		x.over(core.Result{Code: choice.Skipped})
@@ -94,9 +96,13 @@
 
 // over fills in whether another attempt could be made.
 func (s *streaming) over(res *core.Result) {
+	res.Sending = time.Duration(s.spent.Load())
 	if res.Code == choice.OK {
 		return // its answer may yet come before the body's end
 	}
+	if res.Code == choice.Reset && s.unsent() {
+		res.Code = choice.Refused
+	}
 	s.up.Detach(s)
 	res.Final = s.up.Lost()
 	s.mu.Lock()
@@ -111,6 +117,9 @@
 	}
 }
 
+// unsent reports whether the server has not begun, since it does so only once the body is whole.
+func (s *streaming) unsent() bool { return s.terms.Whole && !s.up.Ended() }
+
 // lost reports whether bytes of the body have left.
 func (s *streaming) lost() bool { return s.up.Lost() }
 
@@ -182,6 +191,7 @@
 		}
 	}
 	s.side.Conn.SetWriteDeadline(time.Time{}) // for the requests that come after
+	s.spent.Store(int64(time.Since(s.start)))
 	s.expect(s.terms.Head)
 	return nil
 }
@@ -235,16 +245,26 @@
 			c.finish(core.Result{Code: choice.Reset}, "bad-answer")
 			return false
 		case kind == http1.More && readErr != nil:
+			if c.head != nil && c.ends(readErr) {
+				return c.whole(x, true)
+			}
 			c.finish(core.Result{Code: choice.Reset}, "server-reset")
 			return false
 		case kind == http1.More:
+			if c.f.Hold > 0 && c.f.Stall > 0 && c.pieces.Begun() {
+				c.nc.SetReadDeadline(time.Now().Add(c.f.Stall))
+			}
 			return true
 		case kind == http1.Interim:
 			if status := bytes.Fields(piece)[1]; string(status) != "100" && len(c.interim) < mostKept {
 				c.interim = append(c.interim, bytes.Clone(piece))
 			}
-		default:
+		case kind == http1.Head && c.f.Hold == 0:
 			return c.move(x, r, buf)
+		default:
+			if on, over := c.hold(x, kind, r, piece, buf); over {
+				return on
+			}
 		}
 	}
 }
@@ -253,9 +273,10 @@
 // be used on.
 func (c *conn) move(x *exchange, r *http.Response, buf []byte) bool {
 	reply, ok := x.stream.headCame()
-	if !ok {
+	if !ok && c.head == nil {
 		return false
 	}
+	c.head = nil
 	if code := c.f.Streams(r); code != choice.OK && reply == nil {
 		c.finish(core.Result{Code: code}, "answer-not-passed")
 		return false
@@ -266,6 +287,9 @@
 		reply = transfer.NewReply(func() { c.end("client-gone") })
 	}
 	reply.Response, reply.Length = r, c.pieces.Length()
+	if reply.Length >= 0 {
+		reply.Length += int64(len(c.held))
+	}
 	reply.Bare = x.stream.head || r.StatusCode == http.StatusNoContent || r.StatusCode == http.StatusNotModified
 	reply.Interim, c.interim = c.interim, nil
 	if !early {
@@ -308,6 +332,12 @@
 	if err := to.Head(reply); err != nil {
 		return false, "client-gone"
 	}
+	if held := c.held; held != nil {
+		c.held = nil
+		if to.Write(held) != nil {
+			return false, "client-gone"
+		}
+	}
 	var trailer []byte
 	side := transfer.NewSide(c.nc, x.stream.terms.ServerDown)
 	free := transfer.NewSide(c.nc, flow.Pace{})
--- a/internal/net/transfer/upload.go
+++ b/internal/net/transfer/upload.go
@@ -33,6 +33,9 @@
 	pos     int64 // how much of the body the sink has got
 	come    int64 // and how much the client has sent, but for the piece at hand
 	held    []byte
+	blocks  [][]byte // what is held of a stored body, in the place of held
+	stored  int
+	store   *flow.Store
 	whole   bool // nothing has left that is not held
 	ended   bool // the client has sent all of it
 	over    bool // nobody takes it any more
@@ -62,6 +65,52 @@
 	return u
 }
 
+// Stored returns the upload of a body that is held in a store, as long as that has room, before any attempt
+// takes it.
+func Stored(store *flow.Store) *Upload {
+	u := Coming(0, nil, 0)
+	u.store = store
+	return u
+}
+
+// storeBlock is the size of the pieces of memory that stored bodies are held in.
+const storeBlock = 32 << 10
+
+// Store holds more of a stored body. It reports false if there is no room: then nothing is kept of the piece.
+func (u *Upload) Store(piece []byte) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.over {
+		return false
+	}
+	have := len(u.blocks) * storeBlock
+	if need := u.stored + len(piece) - have; need > 0 {
+		blocks := (need + storeBlock - 1) / storeBlock
+		if !u.store.Take(have, blocks*storeBlock) {
+			return false
+		}
+		for range blocks {
+			u.blocks = append(u.blocks, (*buffer(storeBlock))[:0])
+		}
+	}
+	for i := u.stored / storeBlock; len(piece) > 0; i++ {
+		n := min(len(piece), storeBlock-len(u.blocks[i]))
+		u.blocks[i] = append(u.blocks[i], piece[:n]...)
+		piece = piece[n:]
+		u.stored += n
+	}
+	u.length, u.come = int64(u.stored), int64(u.stored)
+	return true
+}
+
+// Flow makes a stored body, for the rest of which there was no room, one that flows: what is held goes first.
+// The length is that of all of it; -1: not told.
+func (u *Upload) Flow(length int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.length = length
+}
+
 // Length tells how long the body is; -1: not known before its end.
 func (u *Upload) Length() int64 { return u.length }
 
@@ -69,7 +118,7 @@
 func (u *Upload) Held() (body []byte, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.held, u.ended && u.whole && len(u.trailer) == 0
+	return u.held, u.ended && u.whole && len(u.trailer) == 0 && u.blocks == nil
 }
 
 // Ended reports whether the client has sent all of it.
@@ -109,13 +158,19 @@
 	case u.sink != nil:
 		return ErrTaken
 	}
-	u.sink, u.busy, u.pos = s, true, int64(len(u.held))
-	ended := u.ended
+	u.sink, u.busy, u.pos = s, true, int64(len(u.held)+u.stored)
+	ended, blocks := u.ended, u.blocks
 	err := u.write(s, u.held)
+	for i := 0; i < len(blocks) && err == nil; i++ {
+		err = u.write(s, blocks[i])
+	}
 	if err == nil && ended {
 		err = u.finish(s)
 	}
 	u.busy = false
+	if u.over {
+		u.letGo()
+	}
 	if err != nil && u.sink == s {
 		u.sink = nil
 	}
@@ -137,7 +192,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.over = true
-	if u.sink == nil || !u.ended {
+	if u.sink == nil || !u.ended || u.store != nil && !u.busy {
 		u.letGo()
 	}
 	u.changed.Broadcast()
@@ -267,6 +322,14 @@
 
 // letGo gives back what is held. The lock is held.
 func (u *Upload) letGo() {
+	if u.store != nil && !u.busy { // else the writer of what is held does it
+		for _, b := range u.blocks {
+			b = b[:storeBlock]
+			release(&b)
+		}
+		u.store.Give(len(u.blocks) * storeBlock)
+		u.blocks = nil
+	}
 	if u.room != nil && len(u.held) > 0 {
 		u.room.Give(flow.Up, len(u.held))
 	}
