Hear clients that connect as a drain closes the listener; keep the figures of long answers

Looked at: the order of Drain. The listener's queue is empty when it closes, since the accept loop waits in it; but a connection taken just before was closed unread with the idle ones (Drain's closeIdle, and Serve's own after Accept). These lines are to blame.

Rejected: closing it only after a look into its receive buffer, which misses what is on its way. Drain now also waits for Serve's own end.

--- a/cmd/dunespoke/mgmt.go
+++ b/cmd/dunespoke/mgmt.go
@@ -32,13 +32,6 @@
 	case "LEAVE", "JOIN":
 		leave := verb == "LEAVE"
 		p.leaving.Store(leave)
-		for _, s := range p.servers {
-			if leave {
-				s.Leave()
-			} else {
-				s.Join()
-			}
-		}
 		p.log.Info().Str("code", "mgmt-"+map[bool]string{true: "leave", false: "join"}[leave]).
 			Msg("told by an operator")
 		return mgmt.Answer{OK: true}
@@ -68,32 +61,34 @@
 	if p.main == nil {
 		return mgmt.Fail("no platform front")
 	}
-	known := make(chan bool, 1)
+	known, all := make(chan bool, 1), make(chan []string, 1)
 	p.main.Ban(name, on, known)
+	p.main.Bans(all)
+	late := time.After(banWait)
+	var ok bool
 	select {
-	case ok := <-known:
-		if !ok {
-			return mgmt.Fail("no app server %s has been listed", name)
-		}
-	case <-time.After(banWait): // it is in the core's queue, and goes in that order
+	case ok = <-known:
+	case <-late: // it is in the core's queue, and goes in that order
+		ok = p.main.Listed(name)
+	}
+	if !ok {
+		return mgmt.Fail("no app server %s has been listed", name)
 	}
 	code := map[bool]string{true: "mgmt-offline", false: "mgmt-online"}[on]
 	p.log.Info().Str("code", code).Str("server", name).Msg("told by an operator")
-	p.keepBans()
+	select {
+	case list := <-all:
+		p.keepBans(list)
+	case <-late:
+		go func() { p.keepBans(<-all) }()
+	}
 	return mgmt.Answer{OK: true}
 }
 
 // keepBans writes the bans where a process that upgrades this one finds them.
-func (p *program) keepBans() {
-	names := make(chan []string, 1)
-	p.main.Bans(names)
-	select {
-	case list := <-names:
-		if err := writeBans(bansFile(p.conf.Listen), list); err != nil {
-			p.log.Warn().Str("code", "bans-unwritten").Err(err).Msg("a process that follows won't know the bans")
-		}
-	case <-time.After(banWait):
-		p.log.Warn().Str("code", "bans-unwritten").Msg("the core was too slow to tell its bans")
+func (p *program) keepBans(list []string) {
+	if err := writeBans(bansFile(p.conf.Listen), list); err != nil {
+		p.log.Warn().Str("code", "bans-unwritten").Err(err).Msg("a process that follows won't know the bans")
 	}
 }
 
--- a/core/bans.go
+++ b/core/bans.go
@@ -11,7 +11,7 @@
 
 func (c *Core) ban(name string, on bool) bool {
 	id, listed := c.ids[name]
-	if !c.seen[name] && !c.banned[name] {
+	if !c.Listed(name) {
 		return false
 	}
 	if on == c.banned[name] {
@@ -40,7 +40,7 @@
 func (c *Core) Keep(names []string) {
 	c.queue.put(func() {
 		for _, n := range names {
-			c.seen[n] = true
+			c.see(n)
 			c.ban(n, true)
 		}
 	})
@@ -49,6 +49,20 @@
 // seenMost bounds the names remembered as once listed; a fleet that comes and goes would fill the memory.
 const seenMost = 1 << 14
 
+// see remembers that a name was listed.
+func (c *Core) see(name string) {
+	if _, known := c.seen.Load(name); !known && c.seenCount < seenMost {
+		c.seen.Store(name, nil)
+		c.seenCount++
+	}
+}
+
+// Listed reports whether the list has ever held a server of that name. Any goroutine may ask.
+func (c *Core) Listed(name string) bool {
+	_, ok := c.seen.Load(name)
+	return ok
+}
+
 // banList returns the names that are out of rotation by an operator's word, in no order. Only for the core's
 // goroutine: see Bans.
 func (c *Core) banList() []string {
--- a/core/bans_test.go
+++ b/core/bans_test.go
@@ -77,3 +77,35 @@
 		}
 	})
 }
+
+// An answer that is passed on counts as open until its end, and as failed if it did not come whole.
+func TestFiguresFollowAnswersThatArePassedOn(t *testing.T) {
+	for whole, want := range map[bool][2]int64{true: {1, 0}, false: {0, 1}} {
+		withCore(t, false, func(t *testing.T, b *bench) {
+			b.ask("read", time.Second)
+			b.up.started[0].End(Result{Code: choice.OK, Body: "x"})
+			ended := b.Passing("read")
+			synctest.Wait()
+			if got := b.Figures().Snapshot(); got.Open != 1 {
+				t.Errorf("%d open while it is passed on, want 1", got.Open)
+			}
+			ended(whole)
+			synctest.Wait()
+			got := b.Figures().Snapshot()
+			if got.Open != 0 || [2]int64{got.Fulfilled["read"], got.Faulted["read"]} != want {
+				t.Errorf("whole: %v: %+v", whole, got)
+			}
+		})
+	}
+}
+
+// A name that the list has held is known to any goroutine, and stays so when the server has gone.
+func TestListedNamesStayKnown(t *testing.T) {
+	withCore(t, false, func(t *testing.T, b *bench) {
+		b.Servers(true, []Server{{Name: "t", State: choice.Live}})
+		synctest.Wait()
+		if !b.Listed("s") || !b.Listed("t") || b.Listed("never") {
+			t.Errorf("s %v, t %v, never %v", b.Listed("s"), b.Listed("t"), b.Listed("never"))
+		}
+	})
+}
--- a/core/core.go
+++ b/core/core.go
@@ -138,7 +138,9 @@
 	ids        map[string]uint64 // of servers, by name
 	servers    map[uint64]Server // as the list says
 	banned     map[string]bool   // by name: out of rotation by an operator's word, whatever the list says
-	seen       map[string]bool   // names that the list has held, up to seenMost
+	seenCount  int
+
+	seen sync.Map // names that the list has held, up to seenMost; only that goroutine adds
 }
 
 // New returns a core, to be set going by Run.
@@ -146,8 +148,7 @@
 	start := time.Now()
 	k := &Core{set: c.Settings, upstream: c.Upstream, counter: c.Counter, log: c.Log, start: start,
 		origin: time.Duration(start.UnixNano()), requests: map[uint64]*request{},
-		ids: map[string]uint64{}, servers: map[uint64]Server{}, banned: map[string]bool{},
-		seen: map[string]bool{}}
+		ids: map[string]uint64{}, servers: map[uint64]Server{}, banned: map[string]bool{}}
 	k.queue.ready = make(chan struct{}, 1)
 	k.wary = map[string]bool{}
 	var classes []string
@@ -232,7 +233,6 @@
 // Submit hands in a request from any goroutine. From here on it gets one final answer.
 func (c *Core) Submit(in Request) Ticket {
 	r := &request{Request: in}
-	c.figures.open.Add(1)
 	c.queue.put(func() { c.take(r) })
 	return Ticket{c, r}
 }
@@ -240,6 +240,13 @@
 // Leave says that the client has gone: it gets no answer any more, and its attempt is cancelled.
 func (t Ticket) Leave() { t.core.queue.put(func() { t.core.leave(t.r) }) }
 
+// Passing tells that a served request's answer is still on its way to the client: it stays open, and counts
+// as failed in the end if it could not be passed on whole. The end is to be told once, from any goroutine.
+func (c *Core) Passing(class string) (ended func(whole bool)) {
+	c.queue.put(func() { c.figures.open.Add(1) })
+	return func(whole bool) { c.queue.put(func() { c.figures.passed(class, whole) }) }
+}
+
 // Servers takes news from the server list: all of it, or the entries that changed.
 func (c *Core) Servers(full bool, list []Server) {
 	c.queue.put(func() { c.learn(full, list) })
@@ -259,9 +266,7 @@
 			c.ids[s.Name] = id
 		}
 		named[id] = true
-		if len(c.seen) < seenMost {
-			c.seen[s.Name] = true
-		}
+		c.see(s.Name)
 		if old, ok := c.servers[id]; ok && (s.State != choice.Live || old.Addr != s.Addr) {
 			c.upstream.Drop(old)
 		}
--- a/core/figures.go
+++ b/core/figures.go
@@ -65,4 +65,13 @@
 	}
 }
 
+// passed counts the end of an answer that was counted as served at its head.
+func (f *Figures) passed(class string, whole bool) {
+	f.open.Add(-1)
+	if t := f.classes[class]; t != nil && !whole {
+		t.fulfilled.Add(-1)
+		t.faulted.Add(1)
+	}
+}
+
 func (f *Figures) relay() { f.relayed.Add(1) }
--- a/core/request.go
+++ b/core/request.go
@@ -29,6 +29,7 @@
 	if r.done { // the client left before its request was looked at
 		return
 	}
+	c.figures.open.Add(1)
 	c.lastID++
 	r.id = c.lastID
 	c.requests[r.id] = r
@@ -60,8 +61,8 @@
 		return
 	}
 	r.done = true
-	c.figures.open.Add(-1)
 	if r.id != 0 {
+		c.figures.open.Add(-1)
 		c.gate.Left(c.Now(), r.id)
 		c.forget(r)
 	}
--- a/front/platform/platform.go
+++ b/front/platform/platform.go
@@ -100,7 +100,7 @@
 	in.Reply = func(a core.Answer) {
 		if long, ok := a.Body.(*transfer.Reply); ok {
 			f.end(m.id)
-			f.pass(x, long)
+			f.pass(x, in.Class, long)
 			return
 		}
 		answer(Translate(a))
@@ -118,7 +118,8 @@
 }
 
 // pass passes a long answer on. Without room it goes on all the same, in small pieces.
-func (f *Front) pass(x *accept.Exchange, r *transfer.Reply) {
+func (f *Front) pass(x *accept.Exchange, class string, r *transfer.Reply) {
+	x.OnEnd(f.core.Passing(class))
 	if room, _ := f.budget.Admit(f.core.Now()); room != nil {
 		x.Widen(room, f.core.Now)
 	}
--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -43,8 +43,9 @@
 	log      zerolog.Logger
 	slots    chan struct{} // one for each connection that may be open
 	draining atomic.Bool
-	leaving  atomic.Bool // told to leave by an operator, and not back yet
+	leaving  func() bool // told to leave by an operator, and not back yet; nil: never
 	closed   atomic.Bool
+	stopped  atomic.Bool // Serve has ended: what it took is in conns
 
 	mu    sync.Mutex
 	conns map[client]struct{}
@@ -87,6 +88,8 @@
 		if err != nil {
 			switch {
 			case s.closed.Load():
+				s.stopped.Store(true)
+				s.over()
 				return nil
 			case errors.Is(err, net.ErrClosed):
 				return fmt.Errorf("accepting clients: %w", err)
@@ -102,9 +105,6 @@
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
 		go c.read()
-		if s.closed.Load() { // it came while the listener was being closed, after Drain counted
-			c.closeIdle("drained")
-		}
 	}
 }
 
@@ -177,6 +177,12 @@
 	for _, c := range s.all() {
 		c.closeIdle("drained")
 	}
+	last := time.AfterFunc(newWait, func() {
+		for _, c := range s.all() {
+			c.closeIdle("drained")
+		}
+	})
+	defer last.Stop()
 	if s.streams != nil && s.streams.Drain > 0 {
 		end := time.AfterFunc(s.streams.Drain, func() {
 			for _, c := range s.all() {
@@ -194,15 +200,12 @@
 func (s *Server) crowded() bool { return 2*len(s.slots) > cap(s.slots) }
 
 // Draining reports whether the server is on its way out, for good or until it is told to join again.
-func (s *Server) Draining() bool { return s.draining.Load() || s.leaving.Load() }
+func (s *Server) Draining() bool { return s.draining.Load() || s.leaving != nil && s.leaving() }
 
-// Leave has every answer from now on close its connection, until Join; the listener stays open, since a
-// drain that an operator asks for may end. Clients see the drain in the front's health check and stop
-// coming; idle connections end by their own time limit.
-func (s *Server) Leave() { s.leaving.Store(true) }
-
-// Join undoes Leave.
-func (s *Server) Join() { s.leaving.Store(false) }
+// LeaveWhile has every answer close its connection while an operator's word holds; the listener stays open,
+// since such a drain may end. Clients see it in the front's health check and stop coming; idle connections
+// end by their own time limit. It is to be called before Serve.
+func (s *Server) LeaveWhile(told func() bool) { s.leaving = told }
 
 // Free is the part of the connections that is free, in percent.
 func (s *Server) Free() int { return 100 - 100*len(s.slots)/cap(s.slots) }
@@ -219,7 +222,7 @@
 func (s *Server) over() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) == 0 && s.closed.Load() {
+	if len(s.conns) == 0 && s.stopped.Load() {
 		s.once.Do(func() { close(s.empty) })
 	}
 }
@@ -458,6 +461,12 @@
 	rankBusy          // it is being answered: never closed
 )
 
+// justCame reports whether a connection is new and its first request may be on its way. Guards, at a drain,
+// clients that connected just before the listener closed: their requests would be turned back unheard.
+func justCame(requests int, since time.Time) bool {
+	return requests == 0 && time.Since(since) < newWait
+}
+
 func (c *conn) usage() usage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -494,7 +503,7 @@
 func (c *conn) closeIdle(code string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy && !c.frames.Started() {
+	if !c.busy && !c.frames.Started() && !justCame(c.count, c.since) {
 		c.end(code)
 	}
 }
--- a/internal/net/accept/accept_test.go
+++ b/internal/net/accept/accept_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,7 @@
 
 // held answers /now at once, and the rest when the test says so.
 type held struct {
+	leaving atomic.Bool
 	mu      sync.Mutex
 	waiting []func(*http1.Answer)
 }
@@ -56,6 +58,7 @@
 		n, h := scenario.NewNet(), &held{}
 		l, _ := n.Listen("memory", "ingress")
 		s := New(l, h, 4, zerolog.New(zerolog.SyncWriter(&log)))
+		s.LeaveWhile(h.leaving.Load)
 		ended := make(chan error)
 		go func() { ended <- s.Serve() }()
 		play(t, s, h, n)
@@ -105,6 +108,22 @@
 	}
 }
 
+// A client that connects just before a drain closes the listener is heard all the same.
+func TestDrainHearsWhoHasJustConnected(t *testing.T) {
+	serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
+		time.AfterFunc(time.Second-drainAccept, func() { go s.Drain() })
+		scenario.Play(t, n, nil, `
+			client0 wait 990ms
+			client1 send 
+			client2 send 
+			client0 wait 60ms
+			client1 send `+now+`
+			client1 expect at once
+			client1 wait closed
+			client2 wait closed`)
+	})
+}
+
 // Whoever sends nothing, or no whole request, is told or closed within 2.5 s of connecting, however it
 // trickles.
 func TestSilentAndSlowClientsEnd(t *testing.T) {
@@ -332,7 +351,7 @@
 		scenario.Play(t, n, nil, `
 			client1 send `+now+`
 			client1 expect at once`)
-		s.Leave()
+		h.leaving.Store(true)
 		scenario.Play(t, n, nil, `
 			client1 send `+now+`
 			client1 expect Connection: close
@@ -340,7 +359,7 @@
 			client2 send `+now+`
 			client2 expect Connection: close
 			client2 wait closed`)
-		s.Join()
+		h.leaving.Store(false)
 		scenario.Play(t, n, nil, `
 			client3 send `+now+`
 			client3 expect at once
@@ -348,7 +367,7 @@
 			client3 expect at once\n
 			client3 wait nothing`)
 		if s.Draining() {
-			t.Error("still draining after Join")
+			t.Error("still draining after being told to join")
 		}
 	})
 }
--- a/internal/net/accept/stream.go
+++ b/internal/net/accept/stream.go
@@ -75,8 +75,9 @@
 	down   *transfer.Side
 	form   bodyForm
 	out    []byte
-	told   bool         // the head is on its way
-	up     atomic.Int64 // bytes of the body
+	told   bool             // the head is on its way
+	up     atomic.Int64     // bytes of the body
+	onEnd  func(whole bool) // of the answer; may be nil
 }
 
 // bodyForm is how a body is framed for the client.
@@ -111,6 +112,18 @@
 	}
 }
 
+// OnEnd has a function told whether the answer has gone out whole, once it has, or never will. It must not
+// block.
+func (x *Exchange) OnEnd(f func(whole bool)) {
+	x.c.mu.Lock()
+	defer x.c.mu.Unlock()
+	if x.c.ended || x.c.x != x {
+		f(false)
+		return
+	}
+	x.onEnd = f
+}
+
 // Answer gives a whole answer. It does not block.
 func (x *Exchange) Answer(a *http1.Answer) { go x.c.respond(x, a) }
 
@@ -569,6 +582,9 @@
 	if c.ended || c.x != x {
 		return
 	}
+	if x.onEnd != nil {
+		x.onEnd(true)
+	}
 	c.add(x)
 	c.x, c.used = nil, time.Now()
 	c.changed.Broadcast()
@@ -631,7 +647,7 @@
 func (c *stream) closeIdle(code string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.x == nil && c.begun.IsZero() {
+	if c.x == nil && c.begun.IsZero() && !justCame(c.count, c.since) {
 		c.end(code)
 	}
 }
@@ -653,6 +669,9 @@
 	x := c.x
 	if x != nil {
 		c.add(x)
+		if x.onEnd != nil {
+			x.onEnd(false)
+		}
 		if x.leave != nil {
 			x.leave()
 		}
