Refuse requests still being sent shortly before a stopping process must end

Looked at: the client log lines of the old processes; ruled out: cut uploads by pace (none is logged), refusals at the head.

Design: 150 ms before the end that the platform states (longest deadline and 0.7 s after SIGTERM), whoever is still sending is answered 503 and may ask the new process; what becomes whole late has its deadline cut to the process's end. Rejected: refusing at SIGTERM, which turns back what would have come in time.

Test: a client still sending is told before the end.

--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -248,6 +248,22 @@
 	return float64(l.MemoryMB << 20)
 }
 
+// The platform kills a process that it has told to stop after the longest deadline, counted as 3 s at most,
+// and 0.7 s. What is left of that is for a signal that comes late.
+const (
+	deadlineMost = 3 * time.Second
+	killAfter    = 600 * time.Millisecond
+)
+
+// life is how long the process lives once it is told to stop.
+func life(set choice.Settings) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range set.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, deadlineMost) + killAfter
+}
+
 // transfers bound the memory of long bodies.
 func transfers(l config.Limits) flow.Options {
 	return flow.Options{Bytes: int(transfersPart * memory(l)), Window: 128 << 10, Least: 16 << 10}
@@ -284,6 +300,7 @@
 		return err
 	}
 	streams := accept.Platform
+	streams.Life = life(conf.Settings)
 	streams.Store = flow.NewStore(int(storePart * memory(conf.Limits)))
 	p.take(accept.NewStreams(l, front, share.clients, streams, p.log), conf.Listen, share.clients, nil)
 	return nil
--- a/front/platform/platform.go
+++ b/front/platform/platform.go
@@ -92,6 +92,9 @@
 		x.Answer(http1.Plain(409, "X-Txn: that request is still being answered"))
 		return nil
 	}
+	if left, ends := x.Left(); ends { // an answer after the process's end is none
+		in.Deadline = min(in.Deadline, left-margin)
+	}
 	in.Deadline += now
 	answer := func(a *http1.Answer) {
 		f.end(m.id)
--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -32,6 +32,7 @@
 	makeRoom() bool
 	closeIdle(code string)
 	cut(code string)
+	turnBack()
 }
 
 // Server takes connections for a Handler, or for a Streamer.
@@ -45,7 +46,8 @@
 	draining atomic.Bool
 	leaving  func() bool // told to leave by an operator, and not back yet; nil: never
 	closed   atomic.Bool
-	stopped  atomic.Bool // Serve has ended: what it took is in conns
+	stopped  atomic.Bool  // Serve has ended: what it took is in conns
+	drained  atomic.Int64 // Unix time in ns since when it drains
 
 	mu    sync.Mutex
 	conns map[client]struct{}
@@ -65,6 +67,7 @@
 	busyWait    = 10 * time.Millisecond   // between looks for a connection that could make room
 	lateWait    = 2 * time.Millisecond    // for what came while this program stood still
 	silentWait  = time.Second             // for a request, while connections are short; then it goes
+	turnWait    = 150 * time.Millisecond  // before the process ends, for clients that still send to be told
 	newWait     = 100 * time.Millisecond  // for a request, while there is nobody else to make room
 )
 
@@ -169,7 +172,16 @@
 // answer from now on closes its connection, then idle connections are closed, and it returns when all that
 // was taken is answered.
 func (s *Server) Drain() {
+	s.drained.Store(time.Now().UnixNano())
 	s.draining.Store(true)
+	if s.streams != nil && s.streams.Life > 0 {
+		end := time.AfterFunc(s.streams.Life-turnWait, func() {
+			for _, c := range s.all() {
+				c.turnBack()
+			}
+		})
+		defer end.Stop()
+	}
 	time.Sleep(drainAccept)
 	s.closed.Store(true)
 	s.listener.Close()
@@ -508,6 +520,9 @@
 	}
 }
 
+// turnBack does nothing: messages held whole are short.
+func (c *conn) turnBack() {}
+
 // cut ends the connection, whatever it is used for.
 func (c *conn) cut(code string) {
 	c.mu.Lock()
--- a/internal/net/accept/accept_test.go
+++ b/internal/net/accept/accept_test.go
@@ -253,6 +253,31 @@
 	s.Drain()
 }
 
+// A client that is still sending shortly before the process must end is told so, and one that asks by then
+// that there is little time.
+func TestDrainTurnsBackWhoIsStillSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := scenario.NewNet()
+		l, _ := n.Listen("memory", "ingress")
+		o := Platform
+		o.Life = 3 * time.Second
+		s := NewStreams(l, refuser{}, 4, o, zerolog.Nop())
+		go s.Serve()
+		began := time.Now()
+		time.AfterFunc(time.Second, s.Drain)
+		scenario.Play(t, n, map[string]string{"half": strings.Repeat("x", 50000)}, `
+			client1 send POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n$half
+			client1 wait 3.7s
+			client1 wait nothing
+			client1 expect HTTP/1.1 503
+			client1 expect draining
+			client1 wait closed`)
+		if took := time.Since(began); took > 4*time.Second {
+			t.Errorf("told after %v, when the process has ended", took)
+		}
+	})
+}
+
 // refuser answers every request at once, however much of its body is yet to come.
 type refuser struct{}
 
--- a/internal/net/accept/stream.go
+++ b/internal/net/accept/stream.go
@@ -34,6 +34,9 @@
 	Wait  time.Duration // for a request's head and a short body
 	Idle  time.Duration // between requests
 	Drain time.Duration // for which exchanges may go on once the server drains; 0: any time
+	// Life is how long the process lives once the server drains; 0: as long as it takes. Requests that are
+	// still being sent shortly before its end are refused: their clients can be told, and ask another.
+	Life time.Duration
 	// Store, if set, takes bodies over Short, and those that don't tell their length, before the Streamer gets
 	// the request, as long as it has room. Those that wait to be asked for are asked for then.
 	Store *flow.Store
@@ -112,6 +115,15 @@
 	}
 }
 
+// Left tells how long the process still lives, if it has been told to end by a certain time.
+func (x *Exchange) Left() (left time.Duration, ends bool) {
+	s := x.c.s
+	if s.streams.Life == 0 || !s.draining.Load() {
+		return 0, false
+	}
+	return s.streams.Life - time.Since(time.Unix(0, s.drained.Load())), true
+}
+
 // OnEnd has a function told whether the answer has gone out whole, once it has, or never will. It must not
 // block.
 func (x *Exchange) OnEnd(f func(whole bool)) {
@@ -153,6 +165,7 @@
 	changed  sync.Cond
 	x        *Exchange // being answered
 	last     bool      // nothing more is read after the answer at hand
+	turned   bool      // a request that is not whole is refused
 	ended    bool
 	count    int
 	used     time.Time // when the last answer was out, or the connection taken
@@ -199,6 +212,10 @@
 func (c *stream) fill() bool {
 	c.nc.SetReadDeadline(c.deadline())
 	n, err := c.nc.Read(c.buf)
+	if isTimeout(err) && c.turnedBack() {
+		c.refuse(errDraining)
+		return false
+	}
 	if n == 0 && isTimeout(err) { // what has come meanwhile is read all the same
 		c.nc.SetReadDeadline(time.Now().Add(lateWait))
 		n, err = c.nc.Read(c.buf)
@@ -235,6 +252,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case c.turned:
+		return time.Now()
 	case c.count == 0:
 		return c.since.Add(c.s.streams.Wait + allowance(c.fed))
 	case c.begun.IsZero():
@@ -448,6 +467,32 @@
 	x.Upload.Break()
 }
 
+// errDraining is told to a client that is still sending when the process is about to end.
+var errDraining = &http1.Error{Status: http.StatusServiceUnavailable, Reason: "draining"}
+
+// turnBack refuses a request that is not whole yet.
+func (c *stream) turnBack() {
+	c.mu.Lock()
+	x := c.x
+	c.turned = true
+	switch {
+	case x == nil:
+		c.nc.SetReadDeadline(time.Now())
+	case x.whole || x.told:
+		x = nil
+	}
+	c.mu.Unlock()
+	if x != nil {
+		c.spoil(x, errDraining)
+	}
+}
+
+func (c *stream) turnedBack() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.turned && c.x == nil && !c.begun.IsZero()
+}
+
 // proceed tells a client that asked whether to send its body.
 func (c *stream) proceed(x *Exchange) {
 	c.mu.Lock()
