Read load reports and settled units from app servers' answers on sockets

At fault: platform.Judge, which read the status and X-Turned-Away alone; the first deployment has neither, and worked by that.

Change: platform.Judge reads both by the settings' fields and bounds; a report that is not whole, or units that can't be true, are as if not told. Rejected: taking part of a report, whose missing figure would be 0 and draw work.

--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -277,9 +277,10 @@
 			return fmt.Errorf("configuration: known: %w", err)
 		}
 	}
+	judge := platform.Judge{Fields: conf.Reports, Units: conf.Settings.MaxUnits}
 	c, err := p.core(conf.Settings, uint64(conf.Seed), conf.Counter, forward.Config{
 		DialTimeout: conf.Settings.DialTimeout, KeepAlive: conf.KeepAlive, Connections: share.servers,
-		Stall: stall, Judge: platform.Judge, Streams: platform.JudgeHead, Hold: holdMost})
+		Stall: stall, Judge: judge.Whole, Streams: judge.Head, Hold: holdMost})
 	if err != nil {
 		return err
 	}
--- a/front/gateway/message.go
+++ b/front/gateway/message.go
@@ -64,16 +64,16 @@
 
 // Judge returns what the head of an answer means. Those with one of the given statuses are errors, after
 // which another attempt may be made if the class allows it; any other is what the client asked for.
-func Judge(errors []int) func(*http.Response) choice.Code {
-	return func(r *http.Response) choice.Code {
+func Judge(errors []int) func(*http.Response) core.Result {
+	return func(r *http.Response) core.Result {
 		clean(r.Header)
 		if len(r.Trailer) > 0 && r.ContentLength < 0 {
 			r.Header["Trailer"] = []string{join(names(r.Trailer))}
 		}
 		r.Header["Via"] = append(slices.Clip(r.Header["Via"]), via)
 		if slices.Contains(errors, r.StatusCode) {
-			return choice.Error
+			return core.Result{Code: choice.Error}
 		}
-		return choice.OK
+		return core.Result{Code: choice.OK}
 	}
 }
--- /dev/null
+++ b/front/platform/judge_test.go
@@ -0,0 +1,49 @@
+package platform
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+
+	"dunespoke/choice"
+	"dunespoke/internal/http1"
+)
+
+func TestJudgeReadsWhatAnswersTell(t *testing.T) {
+	j := Judge{Fields: []string{"outstanding", "backlog"}, Units: 8}
+	for _, c := range []struct {
+		pressure, settled []string
+		load              []float64
+		units             float64
+	}{
+		{[]string{"backlog=2, outstanding=7.5,other=x"}, []string{"3"}, []float64{7.5, 2}, 3},
+		{[]string{"backlog=2"}, []string{"8.1"}, nil, 0},
+		{[]string{"backlog=2,outstanding=-1"}, []string{"-1"}, nil, 0},
+		{[]string{"backlog=2,backlog=2"}, []string{"1e0"}, nil, 0},
+		{[]string{"backlog=1,outstanding=1", "backlog=1,outstanding=1"}, []string{"1", "2"}, nil, 0},
+		{[]string{""}, []string{""}, nil, 0},
+		{nil, nil, nil, 0},
+	} {
+		h := http.Header{"X-Pressure": c.pressure, "X-Settled": c.settled}
+		got := j.Whole(&http1.Response{Response: &http.Response{StatusCode: 200, Header: h}})
+		if got.Code != choice.OK || !slices.Equal(got.Load, c.load) || got.Units != c.units {
+			t.Errorf("%q, %q: load %v, units %v", c.pressure, c.settled, got.Load, got.Units)
+		}
+		head := j.Head(&http.Response{StatusCode: 200, Header: h})
+		if !slices.Equal(head.Load, c.load) || head.Units != c.units || len(h) != 0 {
+			t.Errorf("%q, %q at the head: load %v, units %v, left %v", c.pressure, c.settled, head.Load, head.Units, h)
+		}
+	}
+	busy := http.Header{"X-Turned-Away": {"1"}, "X-Pressure": {"outstanding=9,backlog=30"}, "X-Settled": {"2"}}
+	got := j.Whole(&http1.Response{Response: &http.Response{StatusCode: 503, Header: busy}})
+	if got.Code != choice.Busy || !slices.Equal(got.Load, []float64{9, 30}) || got.Units != 0 {
+		t.Errorf("turned away: %+v", got)
+	}
+}
+
+func TestSitesWithoutReportsReadNone(t *testing.T) {
+	h := http.Header{"X-Pressure": {"backlog=2"}}
+	if got := (Judge{}).Head(&http.Response{StatusCode: 200, Header: h}); got.Load != nil {
+		t.Errorf("load %v", got.Load)
+	}
+}
--- a/front/platform/message.go
+++ b/front/platform/message.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"dunespoke/choice"
 	"dunespoke/core"
 	"dunespoke/internal/flow"
 	"dunespoke/internal/http1"
@@ -81,36 +80,3 @@
 
 // Method is the request's.
 func (m *message) Method() string { return m.method }
-
-// Judge says what a whole answer of an app server means.
-func Judge(r *http1.Response) core.Result {
-	code := verdict(r.Response)
-	if code != choice.OK {
-		return core.Result{Code: code}
-	}
-	answer := &http1.Answer{Status: 200, Body: r.Content}
-	if kind := r.Header.Get("Content-Type"); kind != "" {
-		answer.Header = [][2]string{{"Content-Type", kind}}
-	}
-	return core.Result{Code: code, Body: answer}
-}
-
-// JudgeHead says what an answer means that is too long to be held, and leaves of its header what goes on.
-func JudgeHead(r *http.Response) choice.Code {
-	code, kind := verdict(r), r.Header["Content-Type"]
-	clear(r.Header)
-	if len(kind) > 0 {
-		r.Header["Content-Type"] = kind[:1]
-	}
-	return code
-}
-
-func verdict(r *http.Response) choice.Code {
-	switch {
-	case r.StatusCode == 200:
-		return choice.OK
-	case (r.StatusCode == 503 || r.StatusCode == 504) && r.Header.Get("X-Turned-Away") == "1":
-		return choice.Busy
-	}
-	return choice.Error
-}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -35,6 +35,7 @@
 	Raw       json.RawMessage `json:"settings"`
 
 	Settings  choice.Settings `json:"-"`
+	Reports   []string        `json:"-"` // fields of load reports in answers; none: they hold none
 	KeepAlive time.Duration   `json:"-"` // for which app servers keep idle connections
 }
 
@@ -123,6 +124,9 @@
 	if err := json.Unmarshal(p.Raw, &w); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if w.Report.Via == "inline" {
+		p.Reports = w.Report.Fields
+	}
 	p.KeepAlive = dur(w.Limits.KeepAlive)
 	if p.KeepAlive <= 0 {
 		p.KeepAlive = 10 * time.Second
--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -30,7 +30,7 @@
 type Judge func(*http1.Response) core.Result
 
 // JudgeHead says what a response means whose head alone has come.
-type JudgeHead func(*http.Response) choice.Code
+type JudgeHead func(*http.Response) core.Result
 
 // Config is what New needs.
 type Config struct {
--- a/internal/net/forward/stream.go
+++ b/internal/net/forward/stream.go
@@ -277,8 +277,9 @@
 		return false
 	}
 	c.head = nil
-	if code := c.f.Streams(r); code != choice.OK && reply == nil {
-		c.finish(core.Result{Code: code}, "answer-not-passed")
+	result := c.f.Streams(r)
+	if result.Code != choice.OK && reply == nil {
+		c.finish(result, "answer-not-passed")
 		return false
 	}
 	c.nc.SetReadDeadline(time.Time{})
@@ -293,7 +294,8 @@
 	reply.Bare = x.stream.head || r.StatusCode == http.StatusNoContent || r.StatusCode == http.StatusNotModified
 	reply.Interim, c.interim = c.interim, nil
 	if !early {
-		x.over(core.Result{Code: choice.OK, Body: reply, Drop: reply.Drop})
+		result.Body, result.Drop = reply, reply.Drop
+		x.over(result)
 	}
 	to := reply.Wait()
 	if to == nil {
