Give back the slot of a call to the counter whose answer can't be read

Looked at: what each end of such a call does to the count. Ruled out: the counter's own times (0.1% over the limit where it is not short) and the driver's waits. At fault: choice's countedOpen, which took only answered and timed-out calls as added. One that broke off or was spoilt (Reset) had been added too; its slot stayed on the count until that was over, 10 s later, and other ingresses refused for it. Units went by NeverRan already. The simulator's counter never ends a call so, hence it went unnoticed.

Design: what may have run counts as added, as for units. Rejected: reading the count again (adding 0) after such a call, which costs a call more and leaves the same doubt. Test: TestASlotOfALostCallIsGivenBack.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -695,7 +695,7 @@
 
 func (g *Gate) countedOpen(a *account, c *call, code Code, total float64) {
 	a.openCall, a.blind, a.held = false, code != OK, a.out
-	if code == OK || code == TimedOut {
+	if !code.NeverRan() { // most likely added
 		a.posted += int(c.amount)
 	}
 	if code == OK {
--- a/choice/gate_test.go
+++ b/choice/gate_test.go
@@ -293,6 +293,42 @@
 	}
 }
 
+// A call whose answer can't be read, or whose connection broke, has most likely been added: its slot was once
+// never given back, and kept others out until the count's life was over.
+func TestASlotOfALostCallIsGivenBack(t *testing.T) {
+	for code, added := range map[choice.Code]bool{choice.Reset: true, choice.TimedOut: true, choice.Busy: false} {
+		e := newEmbedder()
+		g := newGate(t, e)
+		total := 0.0
+		g.Request(0, request(1, "read", "open", 1, 0))
+		if len(e.adds) != 1 {
+			t.Fatalf("adds %v, want one for the slot", e.adds)
+		}
+		if added {
+			total += e.adds[0].amount
+		}
+		name := e.adds[0].name
+		e.adds = nil
+		g.Counted(2*ms, name, code, 0)
+		if len(e.sends) != 1 {
+			t.Fatalf("after code %d: sends %v, want one by an even share", code, e.sends)
+		}
+		ok(g, e, 50*ms, 0)
+		for now := 100 * ms; now < 4*time.Second; now += 100 * ms {
+			g.Wake(now)
+			for len(e.adds) > 0 {
+				a := e.adds[0]
+				e.adds = e.adds[1:]
+				total += a.amount
+				g.Counted(now, a.name, choice.OK, total)
+			}
+		}
+		if total != 0 {
+			t.Errorf("after code %d the count stands at %v, with nothing out", code, total)
+		}
+	}
+}
+
 // The ceiling's store is played against gates whose counter always answers that
 // nobody else took anything, and which are restarted now and then.
 func TestCeilingHoldsThroughLiesAndRestarts(t *testing.T) {
