--- a/choice/gate_test.go
+++ b/choice/gate_test.go
@@ -296,7 +296,8 @@
 // A call whose answer can't be read, or whose connection broke, has most likely been added: its slot was once
 // never given back, and kept others out until the count's life was over.
 func TestASlotOfALostCallIsGivenBack(t *testing.T) {
-	for code, added := range map[choice.Code]bool{choice.Reset: true, choice.TimedOut: true, choice.Busy: false} {
+	cases := map[choice.Code]bool{choice.Reset: true, choice.TimedOut: true, choice.Busy: false}
+	for code, added := range cases {
 		e := newEmbedder()
 		g := newGate(t, e)
 		total := 0.0
--- a/front/platform/judge.go
+++ b/front/platform/judge.go
@@ -64,8 +64,8 @@
 	return units
 }
 
-// load reads a load report such as inflight=7,queue=2 into the settings' order. One that is not whole is none:
-// a figure taken for 0 would draw work.
+// load reads a load report such as inflight=7,queue=2 into the settings' order. One that is not whole is
+// none: a figure taken for 0 would draw work.
 func (j Judge) load(h http.Header) []float64 {
 	lines := h["X-Pressure"]
 	if len(j.Fields) == 0 || len(lines) != 1 {
--- a/front/platform/judge_test.go
+++ b/front/platform/judge_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"math"
 	"net/http"
 	"slices"
 	"testing"
@@ -47,3 +48,22 @@
 		t.Errorf("load %v", got.Load)
 	}
 }
+
+// Whatever an answer tells, the gate hears figures of the settings' number and bounds, or none.
+func FuzzJudge(f *testing.F) {
+	f.Add("outstanding=1,backlog=2", "3")
+	f.Add("backlog=1e300,outstanding=Inf", "0x8")
+	j := Judge{Fields: []string{"outstanding", "backlog"}, Units: 8}
+	f.Fuzz(func(t *testing.T, pressure, settled string) {
+		h := http.Header{"X-Pressure": {pressure}, "X-Settled": {settled}}
+		got := j.Head(&http.Response{StatusCode: 200, Header: h})
+		if got.Units < 0 || got.Units > 8 || len(got.Load) != 0 && len(got.Load) != 2 {
+			t.Errorf("%q, %q: %+v", pressure, settled, got)
+		}
+		for _, n := range got.Load {
+			if !(n >= 0 && n <= math.MaxFloat64) {
+				t.Errorf("%q: %v", pressure, got.Load)
+			}
+		}
+	})
+}
