--- a/internal/net/transfer/upload.go
+++ b/internal/net/transfer/upload.go
@@ -40,7 +40,6 @@
 	ended   bool // the client has sent all of it
 	over    bool // nobody takes it any more
 	trailer []byte
-	sent    int64
 }
 
 // What may keep an attempt from a body, or a client from sending one.
@@ -128,13 +127,6 @@
 	return u.ended
 }
 
-// Sent tells how many bytes of it have gone to servers.
-func (u *Upload) Sent() int64 {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.sent
-}
-
 // Lost reports whether no further attempt can have all of it.
 func (u *Upload) Lost() bool {
 	u.mu.Lock()
@@ -292,7 +284,6 @@
 	u.mu.Unlock()
 	err := s.Write(piece)
 	u.mu.Lock()
-	u.sent += int64(len(piece))
 	return err
 }
 
