Play a fleet of real processes with faults between any two of them: dunelab fleet

Failover is to be decided in common, and nothing here starts several processes of the program or fails the links between them. The rig starts real ingresses with stand-ins for servers, list, counter and clients; each link goes through a relay that cuts, delays or loses by a TOML script. A cut link is silent down to connections that never come up; a dead server's are refused. Processes die with the rig, even when that is killed.

--- a/cmd/dunelab/main.go
+++ b/cmd/dunelab/main.go
@@ -7,6 +7,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -34,6 +35,7 @@
 	Transfers transfersCommand `cmd:"" help:"Make transfers of unlike speeds, all at once."`
 	Streaming streamingCommand `cmd:"" help:"Measure the streaming front beside ReverseProxy."`
 	Payday    paydayCommand    `cmd:"" help:"Measure introspection on a payday."`
+	Fleet     fleetCommand     `cmd:"" help:"Play a fleet of the program, with faults between processes."`
 }
 
 type idpCommand struct {
@@ -166,6 +168,9 @@
 	line.BindTo(ctx, (*context.Context)(nil))
 	if err := line.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "dunelab:", err)
+		if errors.As(err, &badFile{}) {
+			os.Exit(2)
+		}
 		os.Exit(1)
 	}
 }
