Gather the ingresses to a fleet: members, keys, and the common record between real processes

Ingresses knew nothing of each other. fleet/member is memberlist with one keyring, numbered messages against replay, and counts of what is forged, replayed or malformed; fleet/node carries the common record over it; [fleet] of the operator's file sets it up, "dunespoke fleet members|record|note|recover" is for staff, and DUMP tells the epoch. Keys change by SIGHUP.

--- a/cmd/dunespoke/main.go
+++ b/cmd/dunespoke/main.go
@@ -24,6 +24,7 @@
 	Serve   serveCommand   `cmd:"" default:"withargs" help:"Serve until told to stop. The word may be left out."`
 	Check   checkCommand   `cmd:"" help:"Read operator's files, and name each fault with its key."`
 	Conform conformCommand `cmd:"" help:"Check an introspection endpoint against the RFCs."`
+	Fleet   fleetCommand   `cmd:"" help:"Ask an ingress about its fleet, and give orders to it."`
 	Version versionCommand `cmd:"" help:"Tell which build this is."`
 }
 
--- a/cmd/dunespoke/mgmt.go
+++ b/cmd/dunespoke/mgmt.go
@@ -39,11 +39,13 @@
 		if p.main == nil {
 			return mgmt.Fail("no platform front")
 		}
-		figures, err := json.Marshal(p.main.Figures().Snapshot())
+		figures, err := json.Marshal(p.dump())
 		if err != nil {
 			return mgmt.Fail("figures: %v", err)
 		}
 		return mgmt.Answer{OK: true, Report: true, Lines: []string{string(figures), "EOT"}}
+	case "FLEET":
+		return p.fleetCall(args)
 	case "OFFLINE", "ONLINE":
 		if len(args) != 1 {
 			return mgmt.Fail("%s takes one app server's id", verb)
--- a/cmd/dunespoke/wiring.go
+++ b/cmd/dunespoke/wiring.go
@@ -18,6 +18,7 @@
 	"dunespoke/agentcheck"
 	"dunespoke/choice"
 	"dunespoke/core"
+	"dunespoke/fleet/node"
 	"dunespoke/front/gateway"
 	"dunespoke/front/platform"
 	"dunespoke/internal/config"
@@ -49,6 +50,8 @@
 
 	questions *questions // nil without the front for token introspection
 	gate      *gate      // nil without the general HTTP front
+	fleet     *node.Node // nil without a fleet
+	leave     func()     // the fleet
 	guarded   bool       // the platform's requests pass a guard that may ask for tokens
 }
 
@@ -91,6 +94,7 @@
 		}
 	}
 	p.log.Info().Str("code", "draining").Msg("told to stop")
+	p.leaveFleet()
 	p.drain()
 	p.log.Info().Str("code", "stopped").Msg("all that was taken is answered")
 	return nil
@@ -114,7 +118,7 @@
 	switch {
 	case err != nil:
 		p.log.Warn().Str("code", "reload-failed").Err(err).Msg("the operator's settings stay as they were")
-	case p.questions == nil && p.gate == nil:
+	case p.questions == nil && p.gate == nil && p.fleet == nil:
 		p.log.Warn().Str("code", "reload-needs-restart").Msg("nothing of the operator's file that is on can change")
 	default:
 		p.log.Info().Str("code", "reloaded").Int("issuers", len(o.Introspection.Issuers)).
@@ -150,6 +154,9 @@
 	if p.gate != nil {
 		p.gate.take(&o.Gateway, plan, pools)
 	}
+	if p.fleet != nil && o.Fleet.On() {
+		return p.fleet.Keys(o.Fleet.Ring)
+	}
 	return nil
 }
 
@@ -219,6 +226,11 @@
 	if err := p.agent(operator.Agent); err != nil {
 		return err
 	}
+	if operator.Fleet.On() {
+		if err := p.startFleet(&operator.Fleet); err != nil {
+			return err
+		}
+	}
 	if conf != nil && conf.Mgmt != "" {
 		return p.mgmt(conf.Mgmt)
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -17,6 +17,7 @@
 	Introspection Introspection `toml:"introspection"`
 	Agent         Agent         `toml:"agent"`
 	Gateway       Gateway       `toml:"gateway"`
+	Fleet         Fleet         `toml:"fleet"`
 }
 
 // Agent sets up the agent check and HTTP health for balancers. An empty address leaves either off.
@@ -70,6 +71,7 @@
 	n.Path, n.Gateways, n.Share = "/introspect", 1, true
 	n.Patience, n.Aim = Duration(3*time.Second), Duration(500*time.Millisecond)
 	o.Gateway.defaults()
+	o.Fleet.defaults()
 	meta, err := toml.DecodeFile(path, o)
 	if err != nil {
 		return nil, &Faults{path, []error{err}}
@@ -81,6 +83,7 @@
 	n.one(meta.IsDefined("introspection", "service"))
 	n.check(f, getenv)
 	o.Gateway.check(f, n.Bearer.Plan != "")
+	o.Fleet.check(f, getenv)
 	if len(f.all) > 0 {
 		return nil, &Faults{path, f.all}
 	}
--- a/internal/lab/rig/file.go
+++ b/internal/lab/rig/file.go
@@ -24,6 +24,7 @@
 	Regions []Region `toml:"region"`
 	Load    Load     `toml:"load"`
 	Servers Servers  `toml:"servers"`
+	Fleet   Fleet    `toml:"fleet"` // without voters nothing is decided in common
 	Faults  []Fault  `toml:"fault"`
 	Expects []Expect `toml:"expect"`
 }
@@ -132,6 +133,7 @@
 	s.Load.Wait = duration(200 * time.Millisecond)
 	s.Servers = Servers{Cores: 2, Work: duration(25 * time.Millisecond), Queue: 60, Cold: 0.24,
 		Warm: duration(17 * time.Second), Tell: duration(2 * time.Second), Hurts: 3}
+	s.Fleet = Fleet{Lease: duration(2 * time.Second), Hold: duration(30 * time.Second)}
 	meta, err := toml.Decode(text, s)
 	if err != nil {
 		return nil, err
@@ -183,6 +185,14 @@
 		!(v.Hurts > 0) {
 		add("servers", "want cores, work, queue and hurts above 0 and cold up to 1")
 	}
+	for _, v := range s.Fleet.Voters {
+		if !names["ingress:"+v] {
+			add("fleet.voters", "no ingress %q", v)
+		}
+	}
+	if s.Fleet.on() {
+		names["voter"], names["leader"] = true, true
+	}
 	for i := range s.Faults {
 		key := fmt.Sprintf("fault[%d]", i)
 		s.Faults[i].check(func(format string, args ...any) { add(key, format, args...) }, names)
--- a/internal/lab/rig/judge.go
+++ b/internal/lab/rig/judge.go
@@ -293,6 +293,14 @@
 	res.Served, res.Late = part(all.served, all.asked), part(all.late, all.asked)
 	res.Unfair = max(0, res.Served-worst)
 	res.Cross = crossOf(j.seconds)
+	for _, g := range j.r.gossips {
+		g.mu.Lock()
+		res.MessagesMost = max(res.MessagesMost, g.mostIn)
+		g.mu.Unlock()
+	}
+	j.r.seen.mu.Lock()
+	res.Disagreed = j.r.seen.beyond.Seconds()
+	j.r.seen.mu.Unlock()
 	for _, s := range j.r.servers {
 		s.mu.Lock()
 		res.Falls += s.falls
--- a/internal/lab/rig/process.go
+++ b/internal/lab/rig/process.go
@@ -33,6 +33,16 @@
 	return <-done
 }
 
+// Build builds one of the project's commands into a folder, as the source is now.
+func Build(dir, command string) (string, error) {
+	path := filepath.Join(dir, command)
+	out, err := exec.Command("go", "build", "-o", path, "dunespoke/cmd/"+command).CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("building %s: %w: %s", command, err, out)
+	}
+	return path, nil
+}
+
 // process is one run of the program, for an ingress.
 type process struct {
 	cmd   *exec.Cmd
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -96,6 +97,10 @@
 	from   sync.Map                     // local address of a relay's connection: the ingress
 	rng    *rand.Rand
 
+	gossips []*gossip
+	keys    [][]byte
+	seen    seen
+
 	judge *judge
 }
 
@@ -138,6 +143,11 @@
 			return err
 		}
 	}
+	if r.sc.Fleet.on() {
+		if err := r.gather(); err != nil {
+			return err
+		}
+	}
 	for _, a := range r.ingresses {
 		if err := r.launch(a); err != nil {
 			return err
@@ -310,7 +320,11 @@
 
 // launch starts an ingress's process, and watches over it.
 func (r *Rig) launch(a *actor) error {
-	p, err := launch(r.o.Program, r.o.Dir, a.name, r.o.Env)
+	env := r.o.Env
+	if r.sc.Fleet.on() {
+		env = append([]string{"DUNESPOKE_OPERATOR=" + filepath.Join(r.o.Dir, a.name+".toml")}, env...)
+	}
+	p, err := launch(r.o.Program, r.o.Dir, a.name, env)
 	if err != nil {
 		return err
 	}
@@ -403,6 +417,9 @@
 		faults.Go(func() { r.fault(ctx, &r.sc.Faults[i], rand.New(rand.NewPCG(r.sc.Seed, uint64(i)))) })
 	}
 	go r.report(ctx)
+	if r.sc.Fleet.on() {
+		r.watchFleet(ctx)
+	}
 	r.load(ctx, &asks)
 	faults.Wait()
 	asks.Wait()
@@ -456,6 +473,10 @@
 func (r *Rig) targets(name string) []*actor {
 	kind, which, _ := strings.Cut(name, ":")
 	var found []*actor
+	leader := ""
+	if kind == "leader" {
+		leader = r.Leader()
+	}
 	for _, a := range r.all {
 		is := false
 		switch kind {
@@ -473,6 +494,10 @@
 			is = a.kind == theCounter
 		case "list":
 			is = a.kind == theList
+		case "voter":
+			is = a.kind == anIngress && slices.Contains(r.sc.Fleet.Voters, a.name)
+		case "leader":
+			is = a.kind == anIngress && a.name == leader
 		}
 		if is {
 			found = append(found, a)
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -15,10 +15,9 @@
 // build builds the program as it is now, and the laboratory.
 func build(t *testing.T, command string) string {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), command)
-	out, err := exec.Command("go", "build", "-o", path, "dunespoke/cmd/"+command).CombinedOutput()
+	path, err := Build(t.TempDir(), command)
 	if err != nil {
-		t.Fatalf("%v: %s", err, out)
+		t.Fatal(err)
 	}
 	return path
 }
