Spread the reports of an ingress in trouble, and the voters' heartbeats, below 100 messages a second

At 200 ingresses a leader got 106 messages in its worst second (limit 100): all reporters of a zone began at once, and the log's heartbeats took 60. Reports now begin by rank within a second, heartbeats come every 300 ms.

--- a/fleet/common/group.go
+++ b/fleet/common/group.go
@@ -12,7 +12,7 @@
 
 // Times of the log, in ticks.
 const (
-	heartbeatTicks = 2
+	heartbeatTicks = 3
 	electionTicks  = 10 // without a leader before a voter stands, at the least; twice that at the most
 	compactAfter   = 256
 )
--- a/fleet/node/zones_processes_test.go
+++ b/fleet/node/zones_processes_test.go
@@ -128,7 +128,8 @@
 	}
 }
 
-// outOfRotation waits until so many servers or more get nothing new from these ingresses; none, if that is wanted.
+// outOfRotation waits until so many servers or more get nothing new from these ingresses; none, if that is
+// wanted.
 func (f fleet) outOfRotation(names []string, n int) {
 	f.Helper()
 	f.eventually("servers left alone", func() bool {
--- a/fleet/steer/steer.go
+++ b/fleet/steer/steer.go
@@ -61,6 +61,7 @@
 	course  Course
 	due     time.Duration
 	sent    time.Duration // to the leader
+	since   time.Duration // when trouble began; 0: there is none
 	looked  time.Duration
 	asked   string // the change that is proposed
 	askedAt time.Duration
@@ -134,7 +135,7 @@
 	many := min(2, max(1, float64(len(zones))/zonesFew))
 	switch {
 	case trouble:
-		return time.Duration(many * (1 + float64(rank)/witnesses) * float64(reportEvery))
+		return time.Duration(many * (1 + float64(rank)/2) * float64(reportEvery))
 	case rank < witnesses:
 		return time.Duration(many * float64(calmEvery))
 	}
@@ -154,7 +155,13 @@
 	for _, sum := range sums {
 		trouble = trouble || sum.Bad()
 	}
-	if now-s.sent < s.rest(trouble) || s.Leader() == "" || s.Leader() == s.name {
+	switch {
+	case !trouble:
+		s.since = 0
+	case s.since == 0:
+		s.since = now
+	}
+	if wait := s.rest(trouble); now-s.sent < wait || trouble && now-s.since < wait/4 || s.Leader() == "" || s.Leader() == s.name {
 		return
 	}
 	s.sent = now
--- a/fleet/zones/collect.go
+++ b/fleet/zones/collect.go
@@ -88,9 +88,9 @@
 	c.ring[0][zone] = s
 }
 
-// Hung takes an attempt that is still not answered, after so long. Where nothing at all was answered meanwhile the
-// zone is silent, and the attempt counts as failed: it may hang until its client gives up. A zone that answers late
-// is not silent.
+// Hung takes an attempt that is still not answered, after so long. Where nothing at all was answered
+// meanwhile the zone is silent, and the attempt counts as failed: it may hang until its client gives up. A
+// zone that answers late is not silent.
 func (c *Collector) Hung(now time.Duration, zone string, took time.Duration) {
 	if c.last[zone] < now-took {
 		c.Ended(now, zone, true, took)
