--- a/fleet/member/counts.go
+++ b/fleet/member/counts.go
@@ -25,8 +25,8 @@
 // Counts reads the counts.
 func (m *Members) Counts() Counts {
 	c := &m.counts
-	return Counts{c.in.Load(), c.bytesIn.Load(), c.out.Load(), c.bytesOut.Load(), c.unsent.Load(), c.forged.Load(),
-		c.replayed.Load(), c.malformed.Load()}
+	return Counts{c.in.Load(), c.bytesIn.Load(), c.out.Load(), c.bytesOut.Load(), c.unsent.Load(),
+		c.forged.Load(), c.replayed.Load(), c.malformed.Load()}
 }
 
 // counts takes the library's log lines: it tells of bad messages in no other way.
--- a/fleet/steer/steer.go
+++ b/fleet/steer/steer.go
@@ -161,7 +161,9 @@
 	case s.since == 0:
 		s.since = now
 	}
-	if wait := s.rest(trouble); now-s.sent < wait || trouble && now-s.since < wait/4 || s.Leader() == "" || s.Leader() == s.name {
+	wait := s.rest(trouble)
+	early := now-s.sent < wait || trouble && now-s.since < wait/4
+	if early || s.Leader() == "" || s.Leader() == s.name {
 		return
 	}
 	s.sent = now
