Tell a silent zone by rows of failures that outlast the window of a report

A zone that fell silent under light load took 25 to 33 s to be left alone: choice tries it by few attempts, each of which hangs for a second, and a row of failures was forgotten after 2 s. Rows now last 10 s, an attempt that hangs counts where nothing was answered in the latter half of its time, and a link that has come up is not judged for 3.5 s, since older reports would take it down again.

--- a/fleet/node/processes_test.go
+++ b/fleet/node/processes_test.go
@@ -160,8 +160,11 @@
 func TestLeaderStopped(t *testing.T) {
 	f := start(t)
 	leader := f.Leader()
+	stopped := time.Now()
 	goOn := f.begin("stop", "ingress:"+leader, "")
 	f.note(other(leader), "meanwhile")
+	f.agreed(without(leader), "meanwhile")
+	f.eventually("the lease to end", func() bool { return time.Since(stopped) > 3*time.Second })
 	goOn()
 	for range 20 {
 		s, err := f.Status(leader)
--- a/fleet/node/zones_processes_test.go
+++ b/fleet/node/zones_processes_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"dunespoke/internal/lab/rig"
 )
@@ -47,8 +48,12 @@
 func TestServersOfAZoneSilent(t *testing.T) {
 	f := loaded(t)
 	back := f.begin("silent", "servers:b", "")
+	at := time.Now()
 	f.table(everyone, "b>b", true)
+	t.Logf("left alone after %v", time.Since(at))
 	back()
+	at = time.Now()
+	defer func() { t.Logf("let in after %v", time.Since(at)) }()
 	f.table(everyone, "b>b", false)
 }
 
--- a/fleet/zones/collect.go
+++ b/fleet/zones/collect.go
@@ -26,11 +26,21 @@
 	Tried map[string]bool `json:"tried,omitempty"` // zones it tried to connect to: did it go well?
 }
 
+// row is how many attempts failed one after the other, and when the last did.
+type row struct {
+	n    int
+	last time.Duration
+}
+
+// rowLasts is how long a row is told of, longer than the window: a zone that is silent is tried by few
+// attempts, each of which hangs.
+const rowLasts = 10 * time.Second
+
 // Collector sums up one ingress's own attempts. It is for one goroutine.
 type Collector struct {
 	at   time.Duration // of the slot that is being filled
 	ring [slots]map[string]Sum
-	rows map[string]int
+	rows map[string]row
 	last map[string]time.Duration // answers
 	from map[string]time.Duration // zones that were let in again, and when: what was sent before tells nothing
 }
@@ -67,9 +77,9 @@
 		return
 	}
 	if c.rows == nil {
-		c.rows = map[string]int{}
+		c.rows = map[string]row{}
 	}
-	c.rows[zone]++
+	c.rows[zone] = row{c.rows[zone].n + 1, now}
 	if !failed {
 		delete(c.rows, zone)
 		if c.last == nil {
@@ -92,7 +102,7 @@
 // meanwhile the zone is silent, and the attempt counts as failed: it may hang until its client gives up. A
 // zone that answers late is not silent.
 func (c *Collector) Hung(now time.Duration, zone string, took time.Duration) {
-	if c.last[zone] < now-took {
+	if c.last[zone] < now-took/2 { // most that hang were sent a little before the last answer
 		c.Ended(now, zone, true, took)
 	}
 }
@@ -104,13 +114,17 @@
 	for _, slot := range c.ring {
 		for zone, s := range slot {
 			a := all[zone]
-			all[zone] = Sum{a.Ended + s.Ended, a.Failed + s.Failed, c.rows[zone]}
+			all[zone] = Sum{Ended: a.Ended + s.Ended, Failed: a.Failed + s.Failed}
 		}
 	}
-	for zone := range c.rows {
-		if _, recent := all[zone]; !recent {
+	for zone, r := range c.rows {
+		if now-r.last > rowLasts {
 			delete(c.rows, zone)
+			continue
 		}
+		s := all[zone]
+		s.Row = r.n
+		all[zone] = s
 	}
 	return all
 }
--- a/fleet/zones/decide.go
+++ b/fleet/zones/decide.go
@@ -45,9 +45,10 @@
 	restFirst = 3 * time.Second  // that a link stays down at the least: longer than a report reaches back
 	restFlap  = 30 * time.Second // doubled by each flap: two changes in a minute are enough
 	restMost  = 4 * time.Minute
-	calm      = time.Minute     // up for so long, and its flaps are forgotten
-	illAfter  = time.Second     // that it must look ill: one sees a zone's end before others
-	illRest   = 3 * time.Second // that an ingress stays ill at the least
+	calm      = time.Minute                  // up for so long, and its flaps are forgotten
+	settleFor = stale + 500*time.Millisecond // after a link came up: until then reports may be older than that
+	illAfter  = time.Second                  // that it must look ill: one sees a zone's end before others
+	illRest   = 3 * time.Second              // that an ingress stays ill at the least
 )
 
 // heard is a report and when it came.
@@ -118,7 +119,7 @@
 			l := next.Links[name]
 			since := now - time.Duration(l.Since)*time.Millisecond
 			switch {
-			case !l.Down && d.bad(next, from, to):
+			case !l.Down && (l.Since == 0 || since > settleFor) && d.bad(next, from, to):
 				if l.Since > 0 && since < calm {
 					l.Flaps++
 				} else {
