One value a number: what is newest goes by epoch, then number; conflicts are told

Cause: what is newest was told by the number alone, so that an order left on the disk of a head that was cut off could replace, after a restart of all, another one that had been acknowledged under the same number; and heads and desks acknowledged whatever was not above the held number without a look at the text, a desk even out of what it held alone.

Change: what is on a disk bears the epoch under which it was accepted (Content.Stamp); a view stamps what it begins with anew on all its disks, and drops what was never acknowledged. The last 512 numbers are kept with digests: a number that was taken is acknowledged again with its text, and is a conflict (409) with another. For words on old numbers the head asks a majority first; desks ask the core for every word. The store writes a text anew when it differs, not its number.

Seeded defects found: number alone, conflict acknowledged, taken order refused, past forgotten.

--- a/exchange/desk/desk.go
+++ b/exchange/desk/desk.go
@@ -22,15 +22,14 @@
 
 // Core is what the desk passes on to.
 type Core interface {
-	// Put hands a configuration to the core; done is called once, with nil if there was no clear answer.
+	// Put hands a configuration to the core; done is called once, with nil if there was no clear answer, a
+	// signal.Conflict if another one stands under the number, and with the number that the core holds otherwise.
 	Put(version uint64, config []byte, done func(*signal.Message))
 	// Read asks for the newest configuration; done is called once, with nil if there was no clear answer.
 	Read(done func(version uint64, config []byte))
 	// Nearer is the host of a machine of the core that answers and has a wider link than this one; empty: this
 	// machine is of the core itself, or knows none.
 	Nearer() string
-	// Held is the version of the configuration in force here.
-	Held() uint64
 	// View tells how this machine sees the exchange; done is called once.
 	View(done func(View))
 }
@@ -156,21 +155,19 @@
 		respond(http1.Plain(http.StatusBadRequest, trace.UserMessage(err)))
 		return
 	}
-	taken := func(version uint64) {
-		d.Log(events.Put, "version", dir.Version, "held", version)
-		respond(document(map[string]any{"version": fmt.Sprintf("r%d", version)}))
-	}
-	if version := d.Core.Held(); version >= dir.Version { // the highest wins: this changes nothing
-		taken(version)
-		return
-	}
 	d.Core.Put(dir.Version, r.Content, func(m *signal.Message) {
-		if m == nil {
+		switch {
+		case m == nil:
 			d.Log(events.PutUnclear, "version", dir.Version)
 			respond(unclear("not acknowledged yet: send it again", 50*time.Millisecond))
-			return
+		case m.Kind == signal.Conflict:
+			d.Log(events.PutConflict, "version", dir.Version)
+			respond(http1.Plain(http.StatusConflict, fmt.Sprintf(
+				"another configuration stands under r%d: send this one under a higher number", dir.Version)))
+		default:
+			d.Log(events.Put, "version", dir.Version, "held", m.Version)
+			respond(document(map[string]any{"version": fmt.Sprintf("r%d", m.Version)}))
 		}
-		taken(dir.Version)
 	})
 }
 
--- a/exchange/desk/desk_test.go
+++ b/exchange/desk/desk_test.go
@@ -14,11 +14,12 @@
 
 // core is a stand-in for what the desk passes on to.
 type core struct {
-	held   uint64
-	config []byte
-	nearer string
-	silent bool // it gives no clear answer
-	put    []uint64
+	held     uint64
+	config   []byte
+	nearer   string
+	silent   bool // it gives no clear answer
+	conflict bool // another text stands under the number
+	put      []uint64
 }
 
 func (c *core) Put(version uint64, _ []byte, done func(*signal.Message)) {
@@ -27,12 +28,15 @@
 		done(nil)
 		return
 	}
-	done(&signal.Message{Version: version})
+	if c.conflict {
+		done(&signal.Message{Kind: signal.Conflict, Version: c.held})
+		return
+	}
+	done(&signal.Message{Kind: signal.Done, Version: max(version, c.held)})
 }
 
 func (c *core) Read(done func(uint64, []byte)) { done(c.held, c.config) }
 func (c *core) Nearer() string                 { return c.nearer }
-func (c *core) Held() uint64                   { return c.held }
 func (c *core) View(done func(View))           { done(View{Node: "n-1", Version: "r7"}) }
 
 // Given a desk, when calls come in, then each gets its answer, and only what is valid and new is passed on.
@@ -57,7 +61,11 @@
 		{"one without a clear answer", "POST", "/api/rpc?call=config.replace", valid, core{silent: true}, 503,
 			"send it again", "Retry-After", 1},
 		{"one that is not above the held", "POST", "/api/rpc?call=config.replace", valid, core{held: 4}, 200,
-			`"r4"`, "Content-Type", 0},
+			`"r4"`, "Content-Type", 1},
+		{"one of which the core does not say that", "POST", "/api/rpc?call=config.replace", valid,
+			core{held: 4, silent: true}, 503, "send it again", "Retry-After", 1},
+		{"another one under a number", "POST", "/api/rpc?call=config.replace", valid,
+			core{held: 1, conflict: true}, 409, "higher number", "", 1},
 		{"an invalid one", "POST", "/api/rpc?call=config.replace", []byte(`{"version":`), core{}, 400,
 			"configuration", "", 0},
 		{"an invalid old one", "POST", "/api/rpc?call=config.replace", []byte(`{"version":"r0"}`),
--- a/exchange/events/events.go
+++ b/exchange/events/events.go
@@ -40,6 +40,7 @@
 	PutUnclear  = Event{62, "configuration not acknowledged in time", 0}
 	ReadUnclear = Event{63, "the newest configuration could not be told", 0}
 	CallBad     = Event{64, "a call can't be read", 0}
+	PutConflict = Event{65, "another configuration stands under this number", 0}
 	ListFailed  = Event{80, "the list of servers can't be read", 0}
 	ListTaken   = Event{81, "the list of servers has changed", 1}
 	TollHeld    = Event{90, "keeping the counts of tenants", 0}
--- a/exchange/extension/extension.go
+++ b/exchange/extension/extension.go
@@ -244,7 +244,7 @@
 		if from == e.at && m.Call == e.call && e.askAt == 0 {
 			e.news(m)
 		}
-	case signal.Done, signal.Copy:
+	case signal.Done, signal.Conflict, signal.Copy:
 		if c := e.calls[m.Call]; c != nil {
 			delete(e.calls, m.Call)
 			c.done(m)
--- a/exchange/frame/chain.go
+++ b/exchange/frame/chain.go
@@ -1,8 +1,9 @@
 package frame
 
 import (
-	"cmp"
+	"bytes"
 	"slices"
+	"sort"
 	"time"
 
 	"dunespoke/exchange/signal"
@@ -10,20 +11,20 @@
 
 // put is a configuration that waits to be acknowledged.
 type put struct {
-	from    string
-	call    uint64
-	version uint64
-	config  []byte
-	came    time.Duration
-}
-
-// read is a question for the newest configuration, while a majority is asked whether this is still the tail.
-type read struct {
-	from  string
-	call  uint64
-	have  uint64
+	from   string
+	call   uint64
+	entry  signal.Taken
+	config []byte
+	came   time.Duration
+	rides  bool          // it has gone down the chain in this view: what that ends with is its answer
+	asked  time.Duration // when a majority was asked last
+}
+
+// ask is a question to a majority, whether this machine's view is still the newest that can be in service.
+type ask struct {
 	yes   map[string]bool
 	began time.Duration
+	then  func()
 }
 
 // place is this machine's in the chain; -1: in none.
@@ -50,31 +51,81 @@
 	if err != nil {
 		return
 	}
-	f.puts = append(f.puts, put{from, m.Call, m.Version, config, f.now})
+	f.puts = append(f.puts, put{from: from, call: m.Call, config: config, came: f.now,
+		entry: signal.Taken{Version: m.Version, Digest: DigestOf(config)}})
 	f.advance()
 }
 
-// advance acknowledges what the chain has, and starts on the next. The highest version wins: one that is not
-// above what is held is acknowledged, and changes nothing.
+// advance answers for what the chain has, and starts on the next: all that wait go down the chain at once,
+// the highest number with its text, those below it as numbers that are taken.
 func (f *Frame) advance() {
 	if f.place() != 0 {
 		return
 	}
 	f.flight = f.next.Version > f.committed
+	f.conclude()
+	if f.flight {
+		return
+	}
+	var batch []signal.Taken
+	for i := range f.puts {
+		p := &f.puts[i]
+		if p.entry.Version <= f.committed {
+			continue
+		}
+		batch = append(batch, p.entry)
+		if p.rides = true; p.entry.Version > f.next.Version {
+			f.next.Version, f.next.Config = p.entry.Version, p.config
+		}
+	}
+	if len(batch) == 0 {
+		return
+	}
+	f.flight = true
+	f.next.Stamp, f.next.Past = f.epoch, remember(f.next.Past, batch...)
+	f.saveAndRelay()
+}
+
+// conclude answers those whose numbers are not above what is committed. What has gone down the chain in this
+// view was taken by all of it; for the rest a majority is asked first whether this is the head still.
+func (f *Frame) conclude() {
 	f.puts = slices.DeleteFunc(f.puts, func(p put) bool {
-		if p.version > f.committed {
+		if p.entry.Version > f.committed || !p.rides {
 			return false
 		}
-		f.Actions.Send(p.from, &signal.Message{Kind: signal.Done, Call: p.call, Version: p.version, OK: true})
+		f.verdict(p)
 		return true
 	})
-	if f.flight || len(f.puts) == 0 {
-		return
+	for i := range f.puts {
+		if p := &f.puts[i]; p.entry.Version <= f.committed && (p.asked == 0 || f.now >= p.asked+resendEvery) {
+			p.asked = f.now
+			defer f.confirm(p.from, p.call) // which may answer at once, and drops it then
+		}
 	}
-	p := slices.MaxFunc(f.puts, func(a, b put) int { return cmp.Compare(a.version, b.version) })
-	f.flight = true
-	f.next.Version, f.next.Config = p.version, p.config
-	f.saveAndRelay()
+}
+
+// confirm answers one that waits, once a majority has said that this is the head still.
+func (f *Frame) confirm(from string, call uint64) {
+	f.ask(func() {
+		f.puts = slices.DeleteFunc(f.puts, func(p put) bool {
+			if p.from != from || p.call != call {
+				return false
+			}
+			f.verdict(p)
+			return true
+		})
+	})
+}
+
+// verdict answers for a number that is not above what is committed: one that stands with the same text is
+// acknowledged, however often it comes, and with another is a conflict. One of which nothing is remembered is
+// acknowledged and changes nothing, since the highest version wins.
+func (f *Frame) verdict(p put) {
+	m := &signal.Message{Kind: signal.Done, Call: p.call, Version: f.committed, OK: true}
+	if d := f.next.digest(p.entry.Version); d != nil && !bytes.Equal(d, p.entry.Digest) {
+		m.Kind, m.OK = signal.Conflict, false
+	}
+	f.Actions.Send(p.from, m)
 }
 
 // saveAndRelay saves what came down the chain, and passes it on; the tail says that it is done.
@@ -96,8 +147,11 @@
 	again := f.passed == f.rec.Version // the first time did not do it: without a base
 	f.sentAt, f.passed = f.now, f.rec.Version
 	if at < len(f.chain)-1 {
+		past := f.rec.Past[sort.Search(len(f.rec.Past), func(i int) bool {
+			return f.rec.Past[i].Version > f.committed
+		}):]
 		f.Actions.Send(f.chain[at+1], &signal.Message{Kind: signal.Relay, Epoch: f.epoch, Version: f.rec.Version,
-			Config: f.packed(f.committed, !again)})
+			Past: past, Config: f.packed(f.committed, !again)})
 		return
 	}
 	m := &signal.Message{Kind: signal.Done, Epoch: f.epoch, Version: f.rec.Version}
@@ -119,7 +173,8 @@
 		if err != nil {
 			return // it comes again, whole
 		}
-		f.next.Version, f.next.Config = m.Version, config
+		f.next.Content = Content{Stamp: f.epoch, Version: m.Version, Config: config,
+			Past: remember(f.next.Past, m.Past...)}
 		f.saveAndRelay()
 	case m.Version == f.rec.Version: // once more: an answer was lost
 		f.pass()
@@ -179,43 +234,54 @@
 		f.pass()
 	}
 	f.puts = slices.DeleteFunc(f.puts, func(p put) bool { return f.now > p.came+5*time.Second })
-	for id, r := range f.reads {
+	f.advance() // for those that a majority has not been heard about
+	for id, r := range f.asks {
 		if f.now > r.began+time.Second {
-			delete(f.reads, id)
+			delete(f.asks, id)
 		}
 	}
 }
 
 // read answers from the tail, once a majority has said that no later view can be in service.
 func (f *Frame) read(from string, m *signal.Message) {
-	if at := f.place(); at < 0 || at != len(f.chain)-1 || len(f.reads) >= mostPuts {
+	if at := f.place(); at < 0 || at != len(f.chain)-1 || len(f.asks) >= mostPuts {
 		f.Actions.Send(from, &signal.Message{Kind: signal.Refuse, Call: m.Call, Epoch: f.epoch, Chain: f.chain})
 		return
 	}
-	f.readSeq++
-	f.reads[f.readSeq] = &read{from: from, call: m.Call, have: m.Version, began: f.now, yes: map[string]bool{}}
+	f.ask(func() {
+		if f.rec.Version != f.committed { // it is being passed on
+			return
+		}
+		answer := &signal.Message{Kind: signal.Copy, Call: m.Call, Version: f.committed, OK: true}
+		if f.committed > m.Version {
+			answer.Config = f.packed(m.Version, true)
+		}
+		f.Actions.Send(from, answer)
+	})
+}
+
+// ask asks a majority whether this machine's view is the newest that can be in service, and goes on once it
+// has said so. Without a majority nothing comes of it.
+func (f *Frame) ask(then func()) {
+	f.askSeq++
+	f.asks[f.askSeq] = &ask{yes: map[string]bool{}, began: f.now, then: then}
 	for _, r := range f.rec.Registry {
 		if r.Addr != f.self {
-			f.Actions.Send(r.Addr, &signal.Message{Kind: signal.Confirm, Call: f.readSeq, Epoch: f.epoch})
+			f.Actions.Send(r.Addr, &signal.Message{Kind: signal.Confirm, Call: f.askSeq, Epoch: f.epoch})
 		}
 	}
-	f.confirmed(f.self, &signal.Message{Call: f.readSeq, OK: f.next.Promised == f.epoch})
+	f.confirmed(f.self, &signal.Message{Call: f.askSeq, Epoch: f.epoch, OK: f.next.Promised == f.epoch})
 }
 
 func (f *Frame) confirmed(from string, m *signal.Message) {
-	r := f.reads[m.Call]
-	if r == nil || !m.OK || f.state != InService {
+	r := f.asks[m.Call]
+	if r == nil || !m.OK || m.Epoch != f.epoch || f.state != InService {
 		return
 	}
 	r.yes[from] = true
 	if len(r.yes) < f.majority() {
 		return
 	}
-	delete(f.reads, m.Call)
-	answer := &signal.Message{Kind: signal.Copy, Call: r.call, Version: f.committed, OK: true}
-	if f.committed > r.have {
-		answer.Config = f.packed(r.have, true)
-		answer.Version = f.rec.Version // what is on its way, too: it is on this disk
-	}
-	f.Actions.Send(r.from, answer)
+	delete(f.asks, m.Call)
+	r.then()
 }
--- /dev/null
+++ b/exchange/frame/content.go
@@ -0,0 +1,78 @@
+package frame
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"slices"
+
+	"dunespoke/exchange/signal"
+)
+
+// mostPast is how many numbers are remembered, with the digest of what stands under each: an order that is
+// sent again is told apart from another one under its number. Of older ones nothing is known any more, and
+// they are acknowledged as all that is not above the number held.
+const mostPast = 512
+
+// Content is what the core keeps for its operators: one configuration, and what is known of earlier ones.
+type Content struct {
+	Stamp   uint64 // epoch under which it was accepted: what is newest is told by it before the number
+	Version uint64
+	Config  []byte
+	Past    []signal.Taken // the numbers taken last, the configuration's own among them, in rising order
+}
+
+// DigestOf is that of a configuration's text.
+func DigestOf(text []byte) []byte {
+	sum := sha256.Sum256(text)
+	return sum[:16]
+}
+
+// newer reports whether a content was accepted after another, by epoch and then by number: a number alone
+// says nothing, since two machines may have taken unlike texts under it, of which one was left behind.
+func (c *Content) newer(stamp, version uint64) bool {
+	return cmp.Or(cmp.Compare(c.Stamp, stamp), cmp.Compare(c.Version, version)) > 0
+}
+
+// digest is that of the text under a number; nil: none is remembered.
+func (c *Content) digest(version uint64) []byte {
+	i, found := slices.BinarySearchFunc(c.Past, version, byVersion)
+	if !found {
+		return nil
+	}
+	return c.Past[i].Digest
+}
+
+func byVersion(t signal.Taken, version uint64) int { return cmp.Compare(t.Version, version) }
+
+// same reports whether a content has the text that an entry tells.
+func (c *Content) same(t signal.Taken) bool {
+	return c.Version == t.Version && bytes.Equal(c.digest(c.Version), t.Digest)
+}
+
+// last is the entry of the configuration itself; none before the first.
+func (c *Content) last() []signal.Taken {
+	if len(c.Past) == 0 {
+		return nil
+	}
+	return c.Past[len(c.Past)-1:]
+}
+
+// known returns a content as it was found on a disk. An earlier program kept nothing but the text.
+func (c Content) known() Content {
+	if c.Version > 0 && c.digest(c.Version) == nil {
+		c.Past = remember(c.Past, signal.Taken{Version: c.Version, Digest: DigestOf(c.Config)})
+	}
+	return c
+}
+
+// remember returns the numbers with more of them. What is remembered of a number stays.
+func remember(past []signal.Taken, more ...signal.Taken) []signal.Taken {
+	past = slices.Clone(past) // others hold the old one
+	for _, t := range more {
+		if i, found := slices.BinarySearchFunc(past, t.Version, byVersion); !found {
+			past = slices.Insert(past, i, t)
+		}
+	}
+	return past[max(0, len(past)-mostPast):]
+}
--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -43,8 +43,7 @@
 	Promised uint64   // no view below this epoch gets anything from here
 	Epoch    uint64   // of the view installed last
 	Chain    []string // and its machines
-	Version  uint64   // of the configuration
-	Config   []byte
+	Content
 	Founding Founding // of a seed, at the first start
 }
 
@@ -110,14 +109,14 @@
 	floor     uint64 // epochs up to here are taken
 	committed uint64
 
-	puts    []put
-	passed  uint64                       // the version that was sent down the chain last
-	texts   []text                       // the configurations committed last
-	packs   map[[2]uint64]*signal.Packed // of the one on disk, by its version and the base
-	flight  bool                         // a configuration is on its way down the chain
-	sentAt  time.Duration
-	reads   map[uint64]*read
-	readSeq uint64
+	puts   []put
+	passed uint64                       // the version that was sent down the chain last
+	texts  []text                       // the configurations committed last
+	packs  map[[2]uint64]*signal.Packed // of the one on disk, by its version and the base
+	flight bool                         // a configuration is on its way down the chain
+	sentAt time.Duration
+	asks   map[uint64]*ask
+	askSeq uint64
 
 	list    signal.List
 	polls   map[string]poll
@@ -151,9 +150,10 @@
 // New returns a Frame.
 func New(now time.Duration, o Options) *Frame {
 	f := &Frame{Options: o, self: o.Self.Addr, now: now, rec: o.Disk, next: o.Disk, peers: map[string]*peer{},
-		reads: map[uint64]*read{}, polls: map[string]poll{}, members: map[string]member{},
+		asks: map[uint64]*ask{}, polls: map[string]poll{}, members: map[string]member{},
 		packs: map[[2]uint64]*signal.Packed{}, beatAt: now,
 		slow: -healthyFor, epoch: o.Disk.Epoch, chain: o.Disk.Chain, wishAt: now}
+	f.rec.Content, f.next.Content = o.Disk.known(), o.Disk.known()
 	switch {
 	case o.Disk.Whole:
 		f.become(Aside)
@@ -181,6 +181,9 @@
 	if s != InService {
 		f.served = false
 		f.flight = false
+		for i := range f.puts {
+			f.puts[i].rides = false
+		}
 	}
 }
 
@@ -313,7 +316,7 @@
 		// Not what this machine serves, but what it has promised: no later view can be in service unless a
 		// majority has promised its epoch.
 		ok := f.rec.Whole && f.next.Promised == m.Epoch
-		f.Actions.Send(from, &signal.Message{Kind: signal.Confirmed, Call: m.Call, OK: ok})
+		f.Actions.Send(from, &signal.Message{Kind: signal.Confirmed, Call: m.Call, Epoch: m.Epoch, OK: ok})
 	case signal.Confirmed:
 		f.confirmed(from, m)
 	case signal.Poll:
--- a/exchange/frame/view.go
+++ b/exchange/frame/view.go
@@ -16,8 +16,7 @@
 	sent     time.Duration // when the phase's message went out last
 	promised map[string]bool
 	has      map[string]bool
-	version  uint64 // the newest configuration that was told
-	config   []byte
+	newest   Content // that was told
 	install  *signal.Message
 }
 
@@ -113,7 +112,7 @@
 	rank := uint64(slices.IndexFunc(f.rec.Registry, func(m signal.Machine) bool { return m.Addr == f.self }))
 	epoch := (max(f.next.Promised, f.epoch, f.floor)/epochStep+1)*epochStep + rank
 	r := &round{epoch: epoch, chain: want, began: f.now, promised: map[string]bool{}, has: map[string]bool{},
-		version: f.rec.Version, config: f.rec.Config}
+		newest: f.rec.Content}
 	f.become(Proposing)
 	f.round = r
 	f.next.Promised = epoch
@@ -121,7 +120,7 @@
 		if f.round != r || f.next.Promised != epoch {
 			return
 		}
-		r.version, r.config = f.rec.Version, f.rec.Config
+		r.newest = f.rec.Content
 		f.sendRound()
 		f.promise(f.self)
 	})
@@ -131,7 +130,8 @@
 func (f *Frame) sendRound() {
 	r := f.round
 	r.sent = f.now
-	m, has := &signal.Message{Kind: signal.Prepare, Epoch: r.epoch, Version: f.rec.Version}, r.promised
+	m, has := &signal.Message{Kind: signal.Prepare, Epoch: r.epoch, Stamp: f.rec.Stamp,
+		Version: f.rec.Version, Past: f.rec.last()}, r.promised
 	if f.state == Installing {
 		m, has = r.install, r.has
 	}
@@ -168,9 +168,12 @@
 }
 
 func (f *Frame) answerPrepare(from string, m *signal.Message) {
-	p := &signal.Message{Kind: signal.Promise, Epoch: m.Epoch, Version: f.rec.Version}
-	if f.rec.Version > m.Version {
-		p.Config = signal.Pack(f.rec.Config, 0, nil)
+	p := &signal.Message{Kind: signal.Promise, Epoch: m.Epoch, Stamp: f.rec.Stamp, Version: f.rec.Version}
+	if f.rec.newer(m.Stamp, m.Version) {
+		p.Past = f.rec.Past
+		if len(m.Past) == 0 || !f.rec.same(m.Past[len(m.Past)-1]) {
+			p.Config = signal.Pack(f.rec.Config, 0, nil)
+		}
 	}
 	f.Actions.Send(from, p)
 }
@@ -180,12 +183,13 @@
 	if r == nil || r.epoch != m.Epoch || f.state != Proposing {
 		return
 	}
-	if m.Version > r.version && m.Config != nil {
-		config, err := m.Config.Unpack(0, nil)
-		if err != nil {
+	told := Content{Stamp: m.Stamp, Version: m.Version, Past: m.Past}
+	if told.newer(r.newest.Stamp, r.newest.Version) {
+		var err error
+		if told.Config, err = f.text(m); err != nil {
 			return // as if it had not answered
 		}
-		r.version, r.config = m.Version, config
+		r.newest = told
 	}
 	f.promise(from)
 }
@@ -219,18 +223,31 @@
 	r.began = f.now
 	f.round = r
 	r.install = &signal.Message{Kind: signal.Install, Epoch: r.epoch, Chain: r.chain, Registry: f.rec.Registry,
-		Version: r.version, Config: signal.Pack(r.config, 0, nil)}
+		Version: r.newest.Version, Config: signal.Pack(r.newest.Config, 0, nil), Past: r.newest.Past}
 	f.sendRound()
-	f.take(r.install, r.config, func() { f.installed(f.self, &signal.Message{Epoch: r.epoch}) })
+	f.take(r.install, r.newest.Config, func() { f.installed(f.self, &signal.Message{Epoch: r.epoch}) })
 }
 
-// take saves a view.
+// text returns the text of what a message tells: this machine's own, if that is the same.
+func (f *Frame) text(m *signal.Message) ([]byte, error) {
+	switch {
+	case m.Version == 0:
+		return nil, nil
+	case len(m.Past) > 0 && f.next.same(m.Past[len(m.Past)-1]):
+		return f.next.Config, nil
+	case m.Config == nil:
+		return nil, signal.ErrBase
+	}
+	return m.Config.Unpack(0, nil)
+}
+
+// take saves a view, and what it begins with, under its epoch. Whatever else was on the disk is dropped: it
+// was never acknowledged.
 func (f *Frame) take(m *signal.Message, config []byte, then func()) {
 	f.next.Epoch, f.next.Chain, f.next.Promised, f.next.Whole = m.Epoch, m.Chain, m.Epoch, true
 	f.next.Registry = m.Registry
-	if m.Version > f.next.Version {
-		f.next.Version, f.next.Config = m.Version, config
-	}
+	f.next.Content = Content{Stamp: m.Epoch, Version: m.Version, Config: config, Past: m.Past}
+	clear(f.packs)
 	f.save(func() {
 		f.took = m.Epoch
 		then()
@@ -249,15 +266,9 @@
 	if f.next.Epoch == m.Epoch && f.rec.Epoch != m.Epoch {
 		return // it is being saved
 	}
-	var config []byte
-	if m.Version > f.next.Version {
-		var err error
-		if m.Config == nil {
-			return
-		}
-		if config, err = m.Config.Unpack(0, nil); err != nil {
-			return
-		}
+	config, err := f.text(m)
+	if err != nil {
+		return
 	}
 	if !f.rec.Whole {
 		f.Actions.Log(events.Mended, "version", m.Version)
@@ -281,7 +292,7 @@
 			return
 		}
 	}
-	m = &signal.Message{Kind: signal.Active, Epoch: r.epoch, Chain: r.chain, Version: r.version}
+	m = &signal.Message{Kind: signal.Active, Epoch: r.epoch, Chain: r.chain, Version: r.newest.Version}
 	for _, addr := range r.chain {
 		if addr != f.self {
 			f.Actions.Send(addr, m)
--- a/exchange/office/office.go
+++ b/exchange/office/office.go
@@ -102,7 +102,7 @@
 		if f.founder != nil {
 			f.founder.Handle(now, from, m)
 		}
-	case signal.News, signal.Copy:
+	case signal.News, signal.Copy, signal.Conflict:
 		f.ext.Handle(now, from, m)
 	case signal.Roll:
 		f.ext.Handle(now, from, m)
--- a/exchange/plant/plant.go
+++ b/exchange/plant/plant.go
@@ -370,9 +370,6 @@
 	return ""
 }
 
-// Held is the version in force here.
-func (p *Plant) Held() uint64 { return p.held.Load() }
-
 // View tells how this machine sees the exchange.
 func (p *Plant) View(done func(desk.View)) {
 	p.loop.do(func() {
--- /dev/null
+++ b/exchange/rehearsal/register_test.go
@@ -0,0 +1,274 @@
+package rehearsal
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"dunespoke/exchange/frame"
+	"dunespoke/exchange/signal"
+)
+
+// register is what operators are promised: one text a number, and the highest number is read. Its state lists
+// the numbers that were taken, each with its text, in rising order.
+var register = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		taken, c := state.(string), input.(*Call)
+		text, known := "", false
+		held := uint64(0)
+		for entry := range strings.FieldsSeq(taken) {
+			number, t, _ := strings.Cut(entry, "=")
+			held, _ = strconv.ParseUint(number, 10, 64)
+			if held == c.Version {
+				text, known = t, true
+			}
+		}
+		switch {
+		case c.Read:
+			return c.Version == held && c.Text == text, taken
+		case c.Conflict:
+			return known && text != c.Text, taken
+		case c.Acked && known && text != c.Text:
+			return false, taken
+		case c.Version > held: // one without a clear answer may have taken effect at any time, or never
+			taken += fmt.Sprintf("%d=%s ", c.Version, c.Text)
+		}
+		return true, taken
+	},
+}
+
+// history is what operators asked and heard. A change without a clear answer stays open for ever.
+func (x *Exchange) history() (list []porcupine.Operation) {
+	for _, c := range x.Calls {
+		end := int64(c.At)
+		if !c.Acked && !c.Conflict {
+			if end = math.MaxInt64; c.Read {
+				continue
+			}
+		}
+		list = append(list, porcupine.Operation{Input: c, Call: int64(c.Began), Return: end})
+	}
+	return list
+}
+
+// consistent returns what is wrong with the history; empty: it is one of the register.
+func (x *Exchange) consistent() string {
+	if b := x.Broken(); len(b) > 0 {
+		return b[0]
+	}
+	if r := porcupine.CheckOperationsTimeout(register, x.history(), 20*time.Second); r != porcupine.Ok {
+		return fmt.Sprintf("the history is %s as one of the register", cmp.Or(string(r), "unknown"))
+	}
+	return ""
+}
+
+// restartAll kills all processes and starts them again.
+func (x *Exchange) restartAll() {
+	for _, m := range x.Machines {
+		m.Kill()
+	}
+	x.Run(300 * time.Millisecond)
+	for _, m := range x.Machines {
+		m.Start()
+	}
+}
+
+// twoUnderOneNumber plays an order that is left on a head which is cut off, and another one under its number
+// that is acknowledged by the others; then all are killed, the cut ends, and they start again.
+func twoUnderOneNumber(t *testing.T, tamper func(*Machine, *signal.Message),
+	spoil func(*Machine, *frame.Record)) *story {
+	t.Helper()
+	s := given(t, 2)
+	s.Spoil = spoil
+	head := s.Named("z1-1")
+	s.Isolate(head, true)
+	s.PutText(head, 9, "left-behind")
+	s.Run(time.Second)
+	c := s.PutText(s.Named("z2-1"), 9, "acknowledged")
+	for try := 0; !c.Acked && try < 8; try++ {
+		s.Run(time.Second)
+		c = s.PutText(s.Named("z3-1"), 9, "acknowledged")
+		s.Until(func() bool { return c.Ended }, time.Second)
+	}
+	if !c.Acked {
+		t.Fatal("not acknowledged by the others")
+	}
+	s.Tamper = tamper
+	for _, m := range s.Machines {
+		m.Kill()
+	}
+	s.HealAll()
+	s.restartAll()
+	s.Run(5 * time.Second)
+	for _, m := range []*Machine{head, s.Named("z3-3")} {
+		s.Read(m)
+		s.PutText(m, 9, "left-behind")
+		s.PutText(m, 9, "acknowledged")
+		s.Run(time.Second)
+	}
+	return s
+}
+
+// Given an order that was left on the disk of a head which was cut off, when another one under its number was
+// acknowledged, then that stands for ever: on all disks, in force everywhere, acknowledged whenever it is
+// sent again; the other is dropped, and told as a conflict.
+func TestOneTextANumber(t *testing.T) {
+	s := twoUnderOneNumber(t, nil, nil)
+	if wrong := s.consistent(); wrong != "" {
+		t.Error(wrong)
+	}
+	for _, m := range s.Machines {
+		if m.config != "acknowledged" || m.disk && string(m.record.Config) != m.config {
+			t.Errorf("%s goes by %q and has %q on disk", m.Name, m.config, m.record.Config)
+		}
+	}
+	for _, c := range s.Calls[len(s.Calls)-3:] {
+		if !c.Read && (c.Acked != (c.Text == "acknowledged") || c.Conflict == c.Acked) {
+			t.Errorf("sent again: %+v", c)
+		}
+	}
+}
+
+// Given the faults that this was made against, when the same is played, then it is told.
+func TestSeededDefectsOfTheRegisterAreFound(t *testing.T) {
+	for name, s := range map[string]*story{
+		"what is newest is told by the number alone": twoUnderOneNumber(t, nil,
+			func(_ *Machine, r *frame.Record) { r.Stamp = 0 }),
+		"confirmed without a look at the text": twoUnderOneNumber(t, func(_ *Machine, m *signal.Message) {
+			if m.Kind == signal.Conflict {
+				m.Kind = signal.Done
+			}
+		}, nil),
+		"what was taken is refused when it is sent again": twoUnderOneNumber(t,
+			func(_ *Machine, m *signal.Message) {
+				if m.Kind == signal.Done && m.Call != 0 {
+					m.Kind = signal.Conflict
+				}
+			}, nil),
+		"past numbers are forgotten by a restart": pastNumbers(t,
+			func(_ *Machine, r *frame.Record) { r.Past = nil }),
+	} {
+		if s.consistent() == "" {
+			t.Errorf("not found: %s", name)
+		}
+	}
+}
+
+// pastNumbers plays orders that are sent again when later ones stand.
+func pastNumbers(t *testing.T, spoil func(*Machine, *frame.Record)) *story {
+	t.Helper()
+	s := given(t, 1)
+	s.Spoil = spoil
+	for v := uint64(10); v < 14; v++ {
+		s.PutText(s.Machines[v%6], v, "first")
+		s.Run(200 * time.Millisecond)
+	}
+	s.restartAll()
+	s.Run(5 * time.Second)
+	for i, text := range []string{"first", "second", "first"} {
+		s.PutText(s.Machines[i], 11, text)
+		s.Run(time.Second)
+	}
+	return s
+}
+
+// Given several orders, when the first ones are sent again with later ones in force, after all were started
+// again, then each is acknowledged with its own text, and another text under its number is a conflict.
+func TestAnOrderSentAgainAfterLaterOnes(t *testing.T) {
+	s := pastNumbers(t, nil)
+	if wrong := s.consistent(); wrong != "" {
+		t.Error(wrong)
+	}
+	again := s.Calls[len(s.Calls)-3:]
+	if !again[0].Acked || !again[1].Conflict || !again[2].Acked {
+		t.Errorf("%+v, %+v, %+v", again[0], again[1], again[2])
+	}
+	if !s.Settled(13) {
+		t.Error("r13 is not in force everywhere")
+	}
+}
+
+// Given any history of losses that are to be borne, when several operators race for numbers with unlike
+// texts, send again what had no clear answer, and old orders come once more, then all that they hear is what
+// one register would say, and one text is in force everywhere in the end.
+func TestDrawnRaces(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(11)
+	params.MinSuccessfulTests = 40
+	p := gopter.NewProperties(params)
+	p.Property("one register", prop.ForAll(func(seed uint64) string {
+		return races(Options{Zones: 3, Disks: 1 + int(seed%2), Others: 1, Survive: 1 + int(seed%2), Seed: seed})
+	}, gen.UInt64()))
+	p.TestingRun(t)
+}
+
+// races draws a history with unlike texts, and returns what went wrong.
+func races(o Options) string {
+	x := New(o)
+	rng := rand.New(rand.NewPCG(o.Seed, 3))
+	x.StartAll()
+	disks := x.Disked()
+	if !x.Until(func() bool { return len(x.Chain()) == len(disks) }, 8*time.Second) {
+		return "no first start"
+	}
+	number := uint64(1)
+	var lost []*Machine
+	for range 9 {
+		for i := range 2 + rng.IntN(3) {
+			if rng.IntN(3) == 0 {
+				number += 1 + rng.Uint64N(3)
+			}
+			version, text := max(1, number-rng.Uint64N(2)), fmt.Sprintf("t%d", i%2)
+			m := x.Machines[rng.IntN(len(x.Machines))]
+			x.PutText(m, version, text)
+			x.Run(time.Duration(rng.IntN(30)) * time.Millisecond)
+		}
+		if len(lost) < o.Survive {
+			if m := disks[rng.IntN(len(disks))]; !slices.Contains(lost, m) {
+				lost = append(lost, m)
+				strike(x, m, rng)
+			}
+		}
+		x.Run(time.Duration(rng.IntN(1500)) * time.Millisecond)
+		x.Read(x.Machines[rng.IntN(len(x.Machines))])
+		if rng.IntN(2) == 0 && len(lost) > 0 {
+			mend(x, lost)
+			lost = nil
+			x.Run(4 * time.Second) // after which it counts again
+		}
+		if rng.IntN(6) == 0 {
+			mend(x, disks)
+			x.restartAll()
+			lost = nil
+			x.Run(4 * time.Second)
+		}
+	}
+	mend(x, disks)
+	x.Run(6 * time.Second)
+	c := x.Read(x.Machines[len(x.Machines)-1])
+	x.Run(2 * time.Second)
+	if wrong := x.consistent(); wrong != "" {
+		return wrong
+	}
+	if !c.Acked || !x.Settled(c.Version) {
+		return "not all go by the newest"
+	}
+	for _, m := range disks {
+		if !bytes.Equal(m.record.Config, []byte(c.Text)) {
+			return fmt.Sprintf("%s has %q on its disk, %q is in force", m.Name, m.record.Config, c.Text)
+		}
+	}
+	return ""
+}
--- a/exchange/rehearsal/rehearsal.go
+++ b/exchange/rehearsal/rehearsal.go
@@ -64,6 +64,11 @@
 	Servers  []signal.Server // as the platform lists them
 	Messages int             // sent so far, those that got lost among them
 	Bytes    int             // of these, without their frames
+	Calls    []*Call         // of operators, in the order in which they began
+	// Tamper changes what a machine is about to take, and Spoil what a disk is about to hold: a test that plays
+	// a defect shows what finds it. Both may be nil.
+	Tamper func(to *Machine, m *signal.Message)
+	Spoil  func(m *Machine, r *frame.Record)
 
 	rng    *rand.Rand
 	events eventQueue
@@ -326,22 +331,41 @@
 
 // Call is a call of the operator.
 type Call struct {
-	Version uint64
-	Acked   bool // or read
-	Ended   bool
-	At      time.Duration // when it ended
+	Read     bool   // it asks for the newest; otherwise it sends a configuration
+	Version  uint64 // that was sent, or read
+	Text     string
+	Acked    bool // or read
+	Conflict bool // it was refused: another text stands under the number
+	Ended    bool
+	Began    time.Duration
+	At       time.Duration // when it ended
+}
+
+func (x *Exchange) begin(m *Machine, c *Call) *Call {
+	c.Began = x.Now
+	x.Calls = append(x.Calls, c)
+	if !m.up {
+		c.Ended, c.At = true, x.Now
+	}
+	return c
 }
 
-// Put sends a configuration to a machine, which answers or not.
+// Put sends a configuration to a machine, which answers or not. Its text is the same for each number.
 func (x *Exchange) Put(m *Machine, version uint64) *Call {
-	c := &Call{Version: version}
-	if !m.up {
-		c.Ended = true
+	return x.PutText(m, version, fmt.Sprintf("r%d", version))
+}
+
+// PutText sends a configuration with a text of its own.
+func (x *Exchange) PutText(m *Machine, version uint64, text string) *Call {
+	c := x.begin(m, &Call{Version: version, Text: text})
+	if c.Ended {
 		return c
 	}
 	m.act(m.life, func() {
-		m.office.Put(x.Now, version, []byte(fmt.Sprintf("r%d", version)), func(answer *signal.Message) {
-			c.Ended, c.Acked, c.At = true, answer != nil, x.Now
+		m.office.Put(x.Now, version, []byte(text), func(answer *signal.Message) {
+			c.Ended, c.At = true, x.Now
+			c.Acked = answer != nil && answer.Kind == signal.Done
+			c.Conflict = answer != nil && answer.Kind == signal.Conflict
 			if c.Acked {
 				x.acked = max(x.acked, version)
 			}
@@ -371,16 +395,15 @@
 // Read asks a machine for the newest configuration. One that is older than what was acknowledged before the
 // question is a broken promise.
 func (x *Exchange) Read(m *Machine) *Call {
-	c := &Call{}
-	if !m.up {
-		c.Ended = true
+	c := x.begin(m, &Call{Read: true})
+	if c.Ended {
 		return c
 	}
 	before := x.acked
 	m.act(m.life, func() {
 		m.office.Read(x.Now, func(version uint64, config []byte) {
 			c.Ended, c.Acked, c.At = true, config != nil, x.Now
-			c.Version = version
+			c.Version, c.Text = version, string(config)
 			if config == nil {
 				return
 			}
@@ -417,7 +440,7 @@
 func (a *actions) Send(to string, m *signal.Message) {
 	x := a.m.x
 	from := a.m.self.Addr
-	if to == from { // as in the program: not copied
+	if to == from && x.Tamper == nil { // as in the program: not copied
 		x.at(0, func() { a.m.act(a.life, func() { a.m.office.Handle(x.Now, from, m) }) })
 		return
 	}
@@ -437,6 +460,9 @@
 				x.breaks("%s sent what can't be read: %v", a.m.Name, err)
 				return
 			}
+			if x.Tamper != nil {
+				x.Tamper(other, copied)
+			}
 			other.act(other.life, func() { other.office.Handle(x.Now, from, copied) })
 		}
 	})
@@ -451,7 +477,9 @@
 		}
 		ok := !m.full
 		if ok {
-			m.record = r
+			if m.record = r; m.x.Spoil != nil {
+				m.x.Spoil(m, &m.record)
+			}
 			m.x.one(m, r.Registry)
 		}
 		m.act(a.life, func() { m.office.Saved(m.x.Now, token, ok) })
--- a/exchange/signal/signal.go
+++ b/exchange/signal/signal.go
@@ -3,6 +3,7 @@
 package signal
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -40,6 +41,7 @@
 	Pledged                   // that is so; and the draft that was taken last, with its ballot as the version
 	Draft                     // the machines of the core are to be these
 	Drafted                   // it is kept
+	Conflict                  // another configuration stands under that number
 )
 
 // Message is one message. Fields that a kind has no use for are left empty and take no bytes.
@@ -63,6 +65,19 @@
 	Zone     string    `pb:"18"`
 	Shut     []string  `pb:"19"` // of Grant: tenants that may spend only what they were given
 	First    bool      `pb:"20"` // of Hello: the whole system starts for the first time
+	Stamp    uint64    `pb:"21"` // of Promise: the epoch under which the configuration was accepted
+	Past     []Taken   `pb:"22"` // the numbers that were taken last, with what stands under each
+}
+
+// Taken is a number of a configuration that was taken, and what it stands for.
+type Taken struct {
+	Version uint64 `pb:"1"`
+	Digest  []byte `pb:"2"` // of the text: the first 16 bytes of its SHA-256
+}
+
+// Equal reports whether two entries are the same.
+func (t Taken) Equal(other Taken) bool {
+	return t.Version == other.Version && bytes.Equal(t.Digest, other.Digest)
 }
 
 // Machine is a machine of the system.
--- a/exchange/vault/snapshot.go
+++ b/exchange/vault/snapshot.go
@@ -112,7 +112,7 @@
 		return trace.Wrap(err)
 	}
 	epoch := s.Epoch + epochsPassed
-	err = v.write(frame.Record{Whole: true, Registry: core, Promised: epoch, Epoch: epoch, Version: s.Version,
-		Config: []byte(s.Config)})
+	err = v.write(frame.Record{Whole: true, Registry: core, Promised: epoch, Epoch: epoch,
+		Content: frame.Content{Version: s.Version, Config: []byte(s.Config)}})
 	return trace.NewAggregate(err, v.Close(closeWait))
 }
--- a/exchange/vault/vault.go
+++ b/exchange/vault/vault.go
@@ -3,8 +3,10 @@
 package vault
 
 import (
+	"bytes"
 	"errors"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/pebble/v2"
@@ -21,9 +23,11 @@
 var (
 	keyRecord = []byte("record")
 	keyConfig = []byte("config")
+	keyPast   = []byte("past")
 )
 
-// stored is a record as it is written, without the configuration, which stands under a key of its own.
+// stored is a record as it is written, without the configuration and the numbers taken, which stand under
+// keys of their own.
 type stored struct {
 	Whole    bool             `pb:"1"`
 	Registry []signal.Machine `pb:"2"`
@@ -34,6 +38,7 @@
 	Pledged  uint64           `pb:"7"` // of a first start
 	Ballot   uint64           `pb:"8"`
 	Draft    []signal.Machine `pb:"9"`
+	Stamp    uint64           `pb:"10"` // epoch under which the configuration was accepted
 }
 
 type storedConfig struct {
@@ -41,11 +46,15 @@
 	Config  []byte `pb:"2"`
 }
 
+type storedPast struct {
+	Past []signal.Taken `pb:"1"`
+}
+
 // Vault is a store.
 type Vault struct {
 	db      *pebble.DB
 	dir     string
-	written uint64 // version of the configuration in the store
+	written frame.Content // as it is in the store
 	jobs    chan job
 	done    chan struct{}
 }
@@ -101,10 +110,13 @@
 	if err := v.get(keyConfig, &c); err != nil {
 		return frame.Record{}, trace.Wrap(err, "configuration")
 	}
-	v.written = c.Version
+	var p storedPast
+	if err := v.get(keyPast, &p); err != nil {
+		return frame.Record{}, trace.Wrap(err, "numbers taken")
+	}
+	v.written = frame.Content{Stamp: s.Stamp, Version: c.Version, Config: c.Config, Past: p.Past}
 	return frame.Record{Whole: s.Whole, Registry: s.Registry, Promised: s.Promised, Epoch: s.Epoch,
-		Chain:   s.Chain,
-		Version: c.Version, Config: c.Config,
+		Chain: s.Chain, Content: v.written,
 		Founding: frame.Founding{Pledged: s.Pledged, Ballot: s.Ballot, Draft: s.Draft}}, nil
 }
 
@@ -123,20 +135,25 @@
 	b := v.db.NewBatch()
 	defer b.Close()
 	s := stored{r.Whole, r.Registry, r.Promised, r.Epoch, r.Chain, r.Version, r.Founding.Pledged,
-		r.Founding.Ballot, r.Founding.Draft}
+		r.Founding.Ballot, r.Founding.Draft, r.Stamp}
 	if err := b.Set(keyRecord, signal.Encode(nil, &s), nil); err != nil {
 		return trace.Wrap(err)
 	}
-	if r.Version != v.written {
+	if r.Version != v.written.Version || !bytes.Equal(r.Config, v.written.Config) {
 		c := storedConfig{r.Version, r.Config}
 		if err := b.Set(keyConfig, signal.Encode(nil, &c), nil); err != nil {
 			return trace.Wrap(err)
 		}
 	}
+	if !slices.EqualFunc(r.Past, v.written.Past, signal.Taken.Equal) {
+		if err := b.Set(keyPast, signal.Encode(nil, &storedPast{r.Past}), nil); err != nil {
+			return trace.Wrap(err)
+		}
+	}
 	if err := b.Commit(pebble.Sync); err != nil {
 		return trace.Wrap(err)
 	}
-	v.written = r.Version
+	v.written = r.Content
 	return nil
 }
 
--- a/exchange/vault/vault_test.go
+++ b/exchange/vault/vault_test.go
@@ -52,7 +52,8 @@
 		t.Fatal(err)
 	}
 	old := frame.Record{Whole: true, Registry: []signal.Machine{{Addr: "a"}, {Addr: "b"}, {Addr: "c"}},
-		Promised: 256, Epoch: 192, Chain: []string{"a", "b"}, Version: 7, Config: []byte(`{"version":"r7"}`)}
+		Promised: 256, Epoch: 192, Chain: []string{"a", "b"},
+		Content: frame.Content{Version: 7, Config: []byte(`{"version":"r7"}`)}}
 	if err := v.write(old); err != nil {
 		t.Fatal(err)
 	}
