Say at both ends of a line who is there; a new life takes the line over at once

A peer that was started again got nothing while something was being written to its earlier life, for up to a second. A queue was dropped when dialling failed, also when the peer had called meanwhile.

Change: Ringing says the caller's address, its life and whom it calls, and is answered by the same; a call to an address that another process answers ends on both sides before anything on the line is taken. A line from another life replaces the old one, and closes it. Each message is still sent at most once: nothing is written again after an error.

--- a/exchange/plant/plant.go
+++ b/exchange/plant/plant.go
@@ -177,7 +177,7 @@
 		Survive: p.set.Survive.Machines, First: p.set.Fresh, Disk: disk, Limits: p.limits,
 		Life: life, Actions: (*actions)(p)})
 	var err error
-	p.trunk, err = trunk.New(trunk.Options{Self: self.Addr, Listen: net.Listen,
+	p.trunk, err = trunk.New(trunk.Options{Self: self.Addr, Life: life, Listen: net.Listen,
 		Dial: (&net.Dialer{}).DialContext, Log: p.Log, Handle: p.hear})
 	if err != nil {
 		return err
--- a/exchange/signal/signal.go
+++ b/exchange/signal/signal.go
@@ -68,6 +68,7 @@
 	Stamp    uint64    `pb:"21"` // of Promise: the epoch under which the configuration was accepted
 	Past     []Taken   `pb:"22"` // the numbers that were taken last, with what stands under each
 	Life     uint64    `pb:"40"` // of a question, and again of its answers: the life of the process that asked
+	To       string    `pb:"41"` // of Ringing: the address that was dialled; empty: the answer to that
 }
 
 // Questions are the kinds that ask, each with the kinds that answer it. An answer says again the call or the
--- /dev/null
+++ b/exchange/trunk/calls_test.go
@@ -0,0 +1,276 @@
+package trunk
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"dunespoke/exchange/events"
+	"dunespoke/exchange/signal"
+)
+
+// lines are connections in memory, from whoever dials to who listens at an address.
+type lines map[string]chan net.Conn
+
+func (l lines) listen(_, addr string) (net.Listener, error) {
+	l[addr] = make(chan net.Conn)
+	return listener{l[addr]}, nil
+}
+
+func (l lines) dial(_ context.Context, _, addr string) (net.Conn, error) {
+	if l[addr] == nil {
+		return nil, errReset
+	}
+	a, b := net.Pipe()
+	l[addr] <- b
+	return a, nil
+}
+
+type listener struct{ calls chan net.Conn }
+
+func (l listener) Accept() (net.Conn, error) {
+	nc, ok := <-l.calls
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return nc, nil
+}
+func (l listener) Close() error   { close(l.calls); return nil }
+func (l listener) Addr() net.Addr { return nil }
+
+// end is a trunk in memory, what it heard, and what it logged.
+type end struct {
+	*Trunk
+	mu    sync.Mutex
+	calls []uint64
+	came  chan uint64
+	log   chan events.Event
+}
+
+func (l lines) end(t *testing.T, self string, life uint64,
+	dial func(context.Context, string, string) (net.Conn, error)) *end {
+	t.Helper()
+	e := &end{came: make(chan uint64, 64), log: make(chan events.Event, 64)}
+	var err error
+	e.Trunk, err = New(Options{Self: self, Life: life, Listen: l.listen, Dial: dial,
+		Handle: func(_ string, m *signal.Message) {
+			e.mu.Lock()
+			e.calls = append(e.calls, m.Call)
+			e.mu.Unlock()
+			e.came <- m.Call
+		},
+		Log: func(v events.Event, _ ...any) {
+			if v != events.LineSoft {
+				e.log <- v
+			}
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+var errReset = errors.New("reset")
+
+// resetConn is reset after so many bytes that were written.
+type resetConn struct {
+	net.Conn
+	left int
+	sent *bytes.Buffer
+}
+
+func (c *resetConn) Write(p []byte) (int, error) {
+	c.sent.Write(p)
+	n, _ := c.Conn.Write(p[:min(len(p), c.left)])
+	if c.left -= n; n < len(p) {
+		c.Close()
+		return n, errReset
+	}
+	return n, nil
+}
+
+// anewConn plays a trunk that sends a queue anew on the next connection.
+type anewConn struct {
+	net.Conn
+	rung bool
+	anew []byte
+}
+
+func (c *anewConn) Write(p []byte) (int, error) {
+	if c.rung {
+		c.Conn.Write(c.anew)
+		c.anew = nil
+	}
+	c.rung = true
+	return c.Conn.Write(p)
+}
+
+// reset has one end send three calls over a connection that is reset after so many bytes, and then more of
+// them until one comes, and returns what the other heard.
+func reset(t *testing.T, after int, anew bool) []uint64 {
+	l := lines{}
+	b := l.end(t, "b", 2, l.dial)
+	first := true
+	var sent bytes.Buffer
+	ring := len(signal.Append(nil, &signal.Message{Kind: signal.Ringing, From: "a", Life: 1, To: "b"}))
+	a := l.end(t, "a", 1, func(ctx context.Context, network, addr string) (net.Conn, error) {
+		nc, err := l.dial(ctx, network, addr)
+		switch {
+		case first:
+			first = false
+			return &resetConn{nc, after, &sent}, err
+		case anew && sent.Len() > ring:
+			return &anewConn{Conn: nc, anew: sent.Bytes()[ring:]}, err
+		}
+		return nc, err
+	})
+	for call := range uint64(3) {
+		a.Send("b", &signal.Message{Kind: signal.Put, Call: call + 1})
+	}
+	if v := <-b.log; v != events.PeerGone {
+		t.Errorf("reset after %d bytes: %s", after, v.Text)
+	}
+	for call := uint64(4); ; call++ {
+		a.Trunk.mu.Lock()
+		a.peer("b").failed = time.Time{} // it was too soon to dial again
+		a.Trunk.mu.Unlock()
+		a.Send("b", &signal.Message{Kind: signal.Put, Call: call})
+		select {
+		case c := <-b.came:
+			if c < 4 {
+				continue
+			}
+		case <-time.After(time.Millisecond):
+			continue
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return slices.Clone(b.calls)
+	}
+}
+
+// Given calls on a connection, when it is reset at any byte, then each call is heard once, or never, and none
+// in part; and the next are heard. A trunk that sends its queue anew is found out.
+func TestWhatAResetCutsOffIsNotSentTwice(t *testing.T) {
+	size := len(signal.Append(nil, &signal.Message{Kind: signal.Ringing, From: "a", Life: 1, To: "b"})) +
+		3*len(signal.Append(nil, &signal.Message{Kind: signal.Put, Call: 1}))
+	twice := 0
+	for after := range size {
+		heard := reset(t, after, false)
+		if !slices.IsSorted(heard) || len(slices.Compact(slices.Clone(heard))) != len(heard) {
+			t.Errorf("reset after %d bytes: heard %v", after, heard)
+		}
+		heard = reset(t, after, true)
+		slices.Sort(heard)
+		if len(slices.Compact(slices.Clone(heard))) != len(heard) {
+			twice++
+		}
+	}
+	if twice == 0 {
+		t.Error("a trunk that sends anew is not found out")
+	}
+}
+
+// misdialled plays a trunk that doesn't say whom it calls.
+type misdialled struct{ net.Conn }
+
+func (c misdialled) Write(p []byte) (int, error) {
+	var cut signal.Cutter
+	cut.Feed(p)
+	if m, _ := cut.Next(); m != nil && m.Kind == signal.Ringing {
+		m.To = "b"
+		p = signal.Append(nil, m)
+	}
+	return c.Conn.Write(p)
+}
+
+// Given an address that another process answers, when it is called, then that one takes nothing of what is
+// said; and where it did not look, who called takes nothing from it.
+func TestWhoAnswersAtAnothersAddressIsHungUpOn(t *testing.T) {
+	for _, looks := range []bool{true, false} {
+		l := lines{}
+		b := l.end(t, "b", 2, l.dial)
+		a := l.end(t, "a", 1, func(ctx context.Context, network, _ string) (net.Conn, error) {
+			nc, err := l.dial(ctx, network, "b")
+			if !looks {
+				nc = misdialled{nc}
+			}
+			return nc, err
+		})
+		a.Send("old", &signal.Message{Kind: signal.Confirm, Call: 1})
+		if looks {
+			if v := <-b.log; v != events.PeerBad {
+				t.Errorf("b says: %s", v.Text)
+			}
+			if len(b.came) > 0 {
+				t.Error("what was said to another was taken")
+			}
+			continue
+		}
+		if v := <-a.log; v != events.PeerBad { // the defect is found at the other end, too
+			t.Errorf("a says: %s", v.Text)
+		}
+		if len(a.came) > 0 {
+			t.Error("what another said was taken")
+		}
+	}
+}
+
+// ring has a peer call a trunk by hand, and returns its end once that has taken the connection.
+func (l lines) ring(t *testing.T, from string, life uint64, to *end) net.Conn {
+	t.Helper()
+	nc, _ := l.dial(context.Background(), "", to.Self)
+	t.Cleanup(func() { nc.Close() })
+	nc.Write(signal.Append(nil, &signal.Message{Kind: signal.Ringing, From: from, Life: life, To: to.Self}))
+	if m := next(nc); m == nil || m.Kind != signal.Ringing || m.From != to.Self || m.Life != to.Life {
+		t.Fatalf("answered %+v", m)
+	}
+	nc.Write(signal.Append(nil, &signal.Message{Kind: signal.Beat}))
+	<-to.came
+	return nc
+}
+
+// next reads a message; nil: the connection has ended.
+func next(nc net.Conn) *signal.Message {
+	var c signal.Cutter
+	buf := make([]byte, 1)
+	for {
+		if _, err := nc.Read(buf); err != nil {
+			return nil
+		}
+		c.Feed(buf)
+		if m, _ := c.Next(); m != nil {
+			return m
+		}
+	}
+}
+
+// Given a peer that was started again while something is on its way to its earlier life, when it calls, then
+// the old connection ends at once, and what is said next comes to the new life, without what was cut off.
+// Were lives not told apart, the old one would go on.
+func TestANewLifeTakesTheLineOver(t *testing.T) {
+	for life, ends := range map[uint64]bool{7: true, 1: false} {
+		l := lines{}
+		b := l.end(t, "b", 2, l.dial)
+		old := l.ring(t, "a", 1, b)
+		b.Send("a", &signal.Message{Kind: signal.Done, Call: 1})
+		old.Read(make([]byte, 1)) // it stands still in the midst of it
+		young := l.ring(t, "a", life, b)
+		if _, err := old.Read(make([]byte, 1)); (err != nil) != ends {
+			t.Errorf("life %d: the old connection ends: %v, want %v", life, err != nil, ends)
+		}
+		if !ends {
+			continue
+		}
+		b.Send("a", &signal.Message{Kind: signal.Done, Call: 2})
+		if m := next(young); m == nil || m.Call != 2 {
+			t.Errorf("the new life hears %+v", m)
+		}
+	}
+}
--- a/exchange/trunk/trunk.go
+++ b/exchange/trunk/trunk.go
@@ -1,10 +1,14 @@
 // Package trunk carries messages between the system's processes, over TCP: a connection for each pair that
 // has something to say, used in both directions. What can't be sent is lost, as on any line: those who speak
-// over it repeat themselves.
+// over it repeat themselves. Nothing is sent twice, and of a message that was cut off nothing is heard.
+//
+// Both ends say first who they are: their address, and their life. A call to an address that another process
+// answers ends there, before anything that it says is taken.
 package trunk
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -30,6 +34,7 @@
 // Options are what New needs.
 type Options struct {
 	Self   string // this process's address
+	Life   uint64 // and its life: no other process has or had it
 	Listen func(network, addr string) (net.Listener, error)
 	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Handle takes what others send. It is called from many goroutines.
@@ -52,6 +57,7 @@
 	addr    string
 	queue   []byte
 	conn    net.Conn // to write to; nil: none is open
+	life    uint64   // of the process at its other end; 0: not said yet
 	writing bool
 	failed  time.Time
 }
@@ -116,8 +122,18 @@
 	}
 }
 
-// read takes messages from a connection until it ends.
-func (t *Trunk) read(nc net.Conn, from string) {
+// Errors of lines.
+var (
+	errStranger = errors.New("it does not say who it is")
+	errTwice    = errors.New("it says twice who it is")
+	errWrong    = errors.New("another process has the address that was called")
+)
+
+// read takes messages from a connection until it ends. The address that was dialled is empty where the other
+// end did so.
+func (t *Trunk) read(nc net.Conn, dialled string) {
+	from := dialled
+	rung := false
 	defer func() {
 		nc.Close()
 		t.drop(from, nc)
@@ -139,18 +155,23 @@
 			if m == nil {
 				break
 			}
-			if m.Kind == signal.Ringing {
-				if from == "" {
+			switch {
+			case m.Kind != signal.Ringing && !rung:
+				bad = errStranger
+			case m.Kind != signal.Ringing:
+				t.Handle(from, m)
+			case rung:
+				bad = errTwice
+			default:
+				rung = true
+				if bad = t.rung(nc, dialled, m); bad == nil {
 					from = m.From
-					t.adopt(from, nc)
 				}
-				continue
 			}
-			if from == "" {
-				t.Log(events.PeerBad, "from", nc.RemoteAddr().String(), "error", "it does not say who it is")
+			if bad != nil {
+				t.Log(events.PeerBad, "from", nc.RemoteAddr().String(), "error", bad.Error())
 				return
 			}
-			t.Handle(from, m)
 		}
 		if err != nil {
 			t.Log(events.PeerGone, "from", from, "error", err.Error())
@@ -168,12 +189,44 @@
 	return p
 }
 
-// adopt has a connection that came in used to answer, too.
-func (t *Trunk) adopt(from string, nc net.Conn) {
+// rung takes who is at the other end of a connection, and answers who is at this one.
+func (t *Trunk) rung(nc net.Conn, dialled string, m *signal.Message) error {
+	switch {
+	case m.From == "":
+		return errStranger
+	case dialled != "" && m.From != dialled, dialled == "" && m.To != t.Self:
+		return errWrong
+	case dialled == "":
+		if err := t.ring(nc, ""); err != nil {
+			return err
+		}
+	}
+	t.adopt(m.From, m.Life, nc)
+	return nil
+}
+
+// ring says who is at this end of a connection, and whom it has called.
+func (t *Trunk) ring(nc net.Conn, to string) error {
+	nc.SetWriteDeadline(time.Now().Add(silence))
+	_, err := nc.Write(signal.Append(nil, &signal.Message{Kind: signal.Ringing, From: t.Self, Life: t.Life,
+		To: to}))
+	return err
+}
+
+// adopt has a connection used to write to a peer. One that leads to another life of it is closed: the process
+// that was there is gone.
+func (t *Trunk) adopt(from string, life uint64, nc net.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if p := t.peer(from); !p.writing || p.conn == nil {
-		p.conn = nc
+	p := t.peer(from)
+	switch {
+	case p.conn == nc:
+		p.life = life
+	case p.conn == nil || !p.writing:
+		p.conn, p.life = nc, life
+	case p.life != 0 && p.life != life:
+		p.conn.Close()
+		p.conn, p.life = nc, life
 	}
 }
 
@@ -219,10 +272,13 @@
 			dialed, err := t.dial(p.addr)
 			t.mu.Lock()
 			if err != nil {
-				p.failed, p.queue = time.Now(), nil
+				if p.conn == nil { // nor has the peer called meanwhile
+					p.failed, p.queue = time.Now(), nil
+				}
 				continue
 			}
-			p.conn, nc = dialed, dialed
+			p.conn, p.life, nc = dialed, 0, dialed
+			go t.read(nc, p.addr)
 		}
 		out := p.queue
 		p.queue = spare[:0]
@@ -253,11 +309,9 @@
 		return nil, trace.ConvertSystemError(err)
 	}
 	t.harden(nc)
-	nc.SetWriteDeadline(time.Now().Add(silence))
-	if _, err := nc.Write(signal.Append(nil, &signal.Message{Kind: signal.Ringing, From: t.Self})); err != nil {
+	if err := t.ring(nc, addr); err != nil {
 		nc.Close()
 		return nil, trace.ConvertSystemError(err)
 	}
-	go t.read(nc, addr)
 	return nc, nil
 }
