Count each question for tokens once, whatever is lost or comes twice

Cause: a question for tokens that came twice leased twice and counted twice what was spent; one that was asked anew after a lost answer did, too: the first lease was nobody's, and what was spent beyond leases was taken from the tenant again. Calls of a meter began at 0 in every life, so that it could take a grant that was given to an earlier one.

Change: the desk keeps the last question of each life of an ingress, and answers its repeat with the same grant and an earlier one with none. A question says which grant was taken last; what was given since goes back into the store, with what was counted as spent, which the new question tells, too. Grants are matched by the life and the call.

Measured: seven ways to repeat a question, each with the exact rest of the store; a desk that forgets is found by five.

--- a/exchange/office/office.go
+++ b/exchange/office/office.go
@@ -175,7 +175,7 @@
 
 func (f *Office) ask(now time.Duration, from string, m *signal.Message) {
 	if f.keep(now) {
-		f.o.Actions.Send(from, f.desk.Ask(now, m))
+		f.o.Actions.Send(from, f.desk.Ask(now, from, m))
 	}
 }
 
--- a/exchange/plant/plant.go
+++ b/exchange/plant/plant.go
@@ -158,7 +158,7 @@
 	var random [8]byte
 	rand.Read(random[:])
 	life := max(1, binary.BigEndian.Uint64(random[:])>>2)
-	p.meter = toll.NewMeter(p.limits, p.toDesk, func(s toll.State) {
+	p.meter = toll.NewMeter(life, p.limits, p.toDesk, func(s toll.State) {
 		if s == toll.Alone {
 			p.Log(events.TollAlone)
 		} else {
--- a/exchange/signal/signal.go
+++ b/exchange/signal/signal.go
@@ -69,6 +69,7 @@
 	Past     []Taken   `pb:"22"` // the numbers that were taken last, with what stands under each
 	Life     uint64    `pb:"40"` // of a question, and again of its answers: the life of the process that asked
 	To       string    `pb:"41"` // of Ringing: the address that was dialled; empty: the answer to that
+	Granted  uint64    `pb:"42"` // of Ask: the call whose grant was taken last; those since have been given up
 }
 
 // Questions are the kinds that ask, each with the kinds that answer it. An answer says again the call or the
--- /dev/null
+++ b/exchange/toll/calls_test.go
@@ -0,0 +1,102 @@
+package toll
+
+import (
+	"testing"
+	"time"
+
+	"dunespoke/exchange/signal"
+)
+
+// question is one of a life of an ingress, as its desk gets it.
+type question struct {
+	life, call, granted uint64
+	tokens, spent       float64
+}
+
+// left asks a desk all questions, with a tenant's store of 100 full, and returns what was given by each and
+// what is left. forgets plays a desk that counts each question by itself.
+func left(questions []question, forgets bool) (given []float64, rest float64) {
+	now := time.Hour
+	d := NewDesk(func(string) Limits { return Limits{Rate: 100, Burst: 100} })
+	d.Open(now, 1)
+	now += 10 * time.Second
+	ask := func(from string, q question) float64 {
+		if forgets {
+			clear(d.asked)
+		}
+		g := d.Ask(now, from, &signal.Message{Kind: signal.Ask, Epoch: 1, Life: q.life, Call: q.call,
+			Granted: q.granted, Tolls: []signal.Toll{{Tenant: "t", Tokens: q.tokens, Spent: q.spent}}})
+		if !g.OK {
+			return 0
+		}
+		return g.Tolls[0].Tokens
+	}
+	for _, q := range questions {
+		given = append(given, ask("a", q))
+	}
+	return given, ask("b", question{life: 9, call: 1, tokens: 1000})
+}
+
+// Given an ingress whose question comes twice, late, or anew after a silence, when the desk answers, then
+// what it leases and what was spent counts once, and that of another life by itself. A desk that forgets
+// counts twice.
+func TestAQuestionForTokensCountsOnce(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		questions []question
+		given     float64 // for the last one
+		rest      float64
+		forgetful bool // a desk that forgets does the same
+	}{
+		{"comes twice", []question{{1, 1, 0, 10, 5}, {1, 1, 0, 10, 5}}, 10, 85, false},
+		{"asked anew after a silence", []question{{1, 1, 0, 10, 5}, {1, 2, 0, 12, 6}}, 12, 82, false},
+		{"after two", []question{{1, 1, 0, 10, 5}, {1, 2, 0, 12, 6}, {1, 3, 0, 9, 7}}, 9, 84, false},
+		{"overtaken by the next", []question{{1, 2, 0, 12, 6}, {1, 1, 0, 10, 5}}, 0, 82, false},
+		{"each answered", []question{{1, 1, 0, 10, 5}, {1, 2, 1, 10, 5}}, 10, 70, true},
+		{"the second not answered", []question{{1, 1, 0, 10, 0}, {1, 2, 1, 20, 0}, {1, 3, 1, 5, 0}}, 5, 85, false},
+		{"another life's", []question{{1, 1, 0, 10, 5}, {2, 1, 0, 10, 5}}, 10, 70, true},
+	} {
+		given, rest := left(c.questions, false)
+		if last := given[len(given)-1]; last != c.given || rest != c.rest {
+			t.Errorf("%s: given %v, left %v; want %v, %v", c.name, last, rest, c.given, c.rest)
+		}
+		if _, rest := left(c.questions, true); (rest == c.rest) != c.forgetful {
+			t.Errorf("%s: %v left at a desk that forgets: the test doesn't tell it apart", c.name, rest)
+		}
+	}
+}
+
+// Given an ingress that was started again, when the grant of its earlier life comes under a call that is out
+// again, then it is not taken, and its own is, once. Without the life it would be.
+func TestAGrantForAnEarlierLifeIsNotTaken(t *testing.T) {
+	now := time.Hour
+	var out []*signal.Message
+	m := NewMeter(2, func(string) Limits { return Limits{Rate: 100, Burst: 100} },
+		func(q *signal.Message) { out = append(out, q) }, func(State) {})
+	m.Serve(1, 1)
+	passed := 0
+	take := func() Verdict {
+		v, _ := m.Take(now, "t", func(ok bool, _ time.Duration) {
+			if ok {
+				passed++
+			}
+		})
+		return v
+	}
+	grant := func(life uint64) *signal.Message {
+		return &signal.Message{Kind: signal.Grant, Life: life, Call: out[0].Call, Epoch: 1, OK: true,
+			Tolls: []signal.Toll{{Tenant: "t", Tokens: out[0].Tolls[0].Tokens}}}
+	}
+	if take() != Wait || len(out) != 1 {
+		t.Fatalf("the first request doesn't ask: %v", out)
+	}
+	if m.Granted(now, grant(1)); passed != 0 || m.granted != 0 {
+		t.Errorf("%d passed by a grant of an earlier life", passed)
+	}
+	m.Granted(now, grant(out[0].Life)) // what the grant before would be, were its life not looked at
+	tokens := m.accounts["t"].tokens
+	m.Granted(now, grant(out[0].Life))
+	if passed != 1 || m.accounts["t"].tokens != tokens {
+		t.Errorf("%d passed, %v tokens left; %v before it came again", passed, m.accounts["t"].tokens, tokens)
+	}
+}
--- a/exchange/toll/desk.go
+++ b/exchange/toll/desk.go
@@ -8,6 +8,7 @@
 package toll
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -41,6 +42,20 @@
 	at     time.Duration
 }
 
+// caller is a process that asks.
+type caller struct {
+	addr string
+	life uint64
+}
+
+// asked is the last question of a caller, with what it was given.
+type asked struct {
+	call  uint64
+	at    time.Duration
+	grant *signal.Message
+	taken map[string]float64 // out of the stores, by tenant
+}
+
 // Desk keeps the counts, at the one machine whose duty that is.
 type Desk struct {
 	epoch   uint64
@@ -49,12 +64,14 @@
 	stores  map[string]*store
 	members map[string]bool
 	lost    map[string]time.Duration // members that have gone, and when
+	asked   map[caller]*asked
+	swept   time.Duration // when callers that have gone were forgotten last
 }
 
 // NewDesk returns a desk that goes by the given limits.
 func NewDesk(limits func(tenant string) Limits) *Desk {
 	return &Desk{limits: limits, stores: map[string]*store{}, members: map[string]bool{},
-		lost: map[string]time.Duration{}}
+		lost: map[string]time.Duration{}, asked: map[caller]*asked{}}
 }
 
 // Open begins the duty under an epoch. The desk knows nothing of what was spent before: stores begin low, and
@@ -63,6 +80,7 @@
 	if epoch != d.epoch {
 		d.epoch, d.opened = epoch, now
 		clear(d.stores)
+		clear(d.asked)
 	}
 }
 
@@ -88,14 +106,33 @@
 
 // Ask answers what an ingress asks for. What was spent beyond leases is taken whether it is there or not: the
 // store then fills from below nothing.
-func (d *Desk) Ask(now time.Duration, m *signal.Message) *signal.Message {
-	answer := &signal.Message{Kind: signal.Grant, Call: m.Call, Epoch: m.Epoch}
+//
+// Each question counts once. The one that came last gets the same grant again, and an earlier one nothing. A
+// question says which grant was taken last: what was given since has been given up, and goes back into the
+// stores with what was counted as spent, since the new question tells that, too.
+func (d *Desk) Ask(now time.Duration, from string, m *signal.Message) *signal.Message {
+	answer := &signal.Message{Kind: signal.Grant, Life: m.Life, Call: m.Call, Epoch: m.Epoch}
 	if m.Epoch != d.epoch {
 		return answer
 	}
+	d.sweep(now)
+	who := caller{from, m.Life}
+	last := d.asked[who]
+	switch {
+	case last == nil || m.Call > last.call:
+	case m.Call == last.call:
+		return last.grant
+	default:
+		return answer
+	}
 	answer.OK = true
+	next := &asked{call: m.Call, at: now, grant: answer, taken: map[string]float64{}}
+	d.asked[who] = next
 	n := float64(max(1, len(d.members)+len(d.lost)))
 	part := 1 - alonePart*float64(len(d.lost))/n
+	if last != nil && last.call > m.Granted {
+		d.restore(now, last, part)
+	}
 	for _, t := range m.Tolls {
 		l := d.limits(t.Tenant)
 		s := d.stores[t.Tenant]
@@ -104,9 +141,11 @@
 			d.stores[t.Tenant] = s
 		}
 		s.fill(now, l, part)
+		before := s.tokens
 		s.tokens = max(s.tokens-max(t.Spent, 0), -max(1, l.Burst))
 		give := math.Floor(min(max(t.Tokens, 0), max(s.tokens, 0)))
 		s.tokens -= give
+		next.taken[t.Tenant] += before - s.tokens
 		answer.Tolls = append(answer.Tolls, signal.Toll{Tenant: t.Tenant, Tokens: give, Spent: t.Spent})
 	}
 	for tenant, s := range d.stores {
@@ -118,6 +157,26 @@
 	return answer
 }
 
+// restore puts back what a question took whose grant was given up.
+func (d *Desk) restore(now time.Duration, q *asked, part float64) {
+	for tenant, tokens := range q.taken {
+		if s := d.stores[tenant]; s != nil {
+			l := d.limits(tenant)
+			s.fill(now, l, part)
+			s.tokens = min(max(1, l.Burst), s.tokens+tokens)
+		}
+	}
+}
+
+// sweep forgets callers that have gone for long: what they asked is not on its way any more.
+func (d *Desk) sweep(now time.Duration) {
+	if now < d.swept+lostMemory {
+		return
+	}
+	d.swept = now
+	maps.DeleteFunc(d.asked, func(_ caller, q *asked) bool { return now > q.at+lostMemory })
+}
+
 func (s *store) fill(now time.Duration, l Limits, part float64) {
 	s.tokens = min(max(1, l.Burst), s.tokens+l.Rate*part*(now-s.at).Seconds())
 	s.at = now
--- a/exchange/toll/meter.go
+++ b/exchange/toll/meter.go
@@ -68,6 +68,7 @@
 type Meter struct {
 	mu       sync.Mutex
 	state    State
+	life     uint64 // of the process: no other has or had it
 	limits   func(tenant string) Limits
 	send     func(m *signal.Message) // to the desk; it must not block
 	change   func(State)
@@ -75,15 +76,18 @@
 	epoch    uint64
 	members  float64
 	call     uint64
+	granted  uint64        // the call whose grant was taken last
 	asked    time.Duration // when the question that is out was sent; 0: none is
 	last     time.Duration // when the last was sent
 	silent   time.Duration // since when no question was answered; 0: the last one was
 	heard    time.Duration // when the last answer came; 0: none has
 }
 
-// NewMeter returns a meter. Change is told of states.
-func NewMeter(limits func(tenant string) Limits, send func(*signal.Message), change func(State)) *Meter {
-	return &Meter{limits: limits, send: send, change: change, accounts: map[string]*account{}, members: 1}
+// NewMeter returns the meter of a life of a process. Change is told of states.
+func NewMeter(life uint64, limits func(tenant string) Limits, send func(*signal.Message),
+	change func(State)) *Meter {
+	return &Meter{life: life, limits: limits, send: send, change: change, accounts: map[string]*account{},
+		members: 1}
 }
 
 // become is the one place where the state changes.
@@ -216,7 +220,8 @@
 	if m.silent == 0 {
 		m.silent = m.asked
 	}
-	m.send(&signal.Message{Kind: signal.Ask, Call: m.call, Epoch: m.epoch, Tolls: tolls})
+	m.send(&signal.Message{Kind: signal.Ask, Life: m.life, Call: m.call, Epoch: m.epoch, Granted: m.granted,
+		Tolls: tolls})
 }
 
 // waits reports whether some request waits.
@@ -229,14 +234,14 @@
 	return false
 }
 
-// Granted takes the desk's answer.
+// Granted takes the desk's answer to the question that is out, once. Any other has been given up.
 func (m *Meter) Granted(now time.Duration, g *signal.Message) {
 	m.mu.Lock()
-	if g.Call != m.call || !g.OK || m.asked == 0 {
+	if g.Life != m.life || g.Call != m.call || !g.OK || m.asked == 0 {
 		m.mu.Unlock()
 		return
 	}
-	m.asked, m.silent, m.heard = 0, 0, max(now, 1)
+	m.asked, m.silent, m.heard, m.granted = 0, 0, max(now, 1), g.Call
 	m.become(now, Reaching)
 	var then []func()
 	for tenant, a := range m.accounts {
--- a/exchange/toll/toll_test.go
+++ b/exchange/toll/toll_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -50,7 +51,7 @@
 func given(seed uint64, ingresses int, l Limits) *town {
 	w := &town{now: time.Hour, rng: rand.New(rand.NewPCG(seed, 3)), limits: l, cut: map[int]bool{}}
 	for i := range ingresses {
-		m := NewMeter(func(string) Limits { return w.limits }, nil, func(State) {})
+		m := NewMeter(uint64(i+1), func(string) Limits { return w.limits }, nil, func(State) {})
 		m.send = func(q *signal.Message) { w.ask(i, m, q) }
 		w.meters = append(w.meters, m)
 		var tick func()
@@ -84,7 +85,7 @@
 		if desk != w.desk {
 			return // it has gone
 		}
-		answer := desk.Ask(w.now, q)
+		answer := desk.Ask(w.now, fmt.Sprint(i), q)
 		w.at(delay(), func() { m.Granted(w.now, answer) })
 	})
 }
