Put no view into service that is over; a question for news that comes again displaces none

Cause: an Active that came late put a view back into service at a machine that knew of a later one. A question for news that came again while it waited began its wait anew, beyond the patience of who asked; after the next one it took that one's place.

Change: a view below the newest that is known isn't put into service; a question for news counts if it is later than the one that waits, of the same life.

--- a/exchange/frame/news.go
+++ b/exchange/frame/news.go
@@ -25,8 +25,8 @@
 func (f *Frame) poll(from string, m *signal.Message) {
 	f.lease(signal.Machine{Addr: from, Zone: m.Zone}, true)
 	wait := min(time.Duration(m.Wait)*time.Millisecond, leaseTime/2)
-	if old, waits := f.polls[from]; waits && old.Life == m.Life && old.Call > m.Call {
-		return // it comes late: who asked has given it up
+	if old, waits := f.polls[from]; waits && old.Life == m.Life && old.Call >= m.Call {
+		return // it comes again, or late: who asked has gone on
 	}
 	f.polls[from] = poll{*m, f.now + wait}
 	f.answer(from, false)
--- a/exchange/frame/view.go
+++ b/exchange/frame/view.go
@@ -306,7 +306,8 @@
 // machine that was started again since takes no part in the view that it finds on its disk: what it told
 // under the epoch, such as lists by their numbers, is not on the disk. It comes back by another view.
 func (f *Frame) activate(m *signal.Message) {
-	if f.took != m.Epoch || f.next.Promised != m.Epoch || f.state == InService && f.epoch == m.Epoch {
+	if f.took != m.Epoch || f.next.Promised != m.Epoch || f.epoch > m.Epoch ||
+		f.state == InService && f.epoch == m.Epoch {
 		return
 	}
 	f.epoch, f.chain = m.Epoch, m.Chain
--- a/exchange/rehearsal/calls_test.go
+++ b/exchange/rehearsal/calls_test.go
@@ -363,3 +363,76 @@
 		t.Error("a program that takes others' answers is not found out")
 	}
 }
+
+// Given a machine that was left out of a view and knows it, when it hears once more that its old one is in
+// service, then it does not go back to it. One that doesn't look at what others say is found.
+func TestAnOldViewIsNotPutIntoServiceAgain(t *testing.T) {
+	back := func(blind bool) bool {
+		s := given(t, 1)
+		m := s.Named("z3-1")
+		var told []letter
+		s.Wire = func(from, to string, x *signal.Message) []Delivery {
+			if to == m.self.Addr && x.Kind == signal.Active {
+				told = append(told, letter{from, x})
+			}
+			if blind && to == m.self.Addr && x.Kind == signal.Beat {
+				x.Epoch = 0
+			}
+			return []Delivery{{To: to, Message: x}}
+		}
+		m.Kill()
+		m.Start()
+		s.then("it serves", 6*time.Second, func() bool { return m.Frame().Fresh() && len(s.Chain()) == 3 || blind })
+		s.Run(2 * time.Second)
+		s.Isolate(m, true)
+		s.then("the others go on", 4*time.Second, func() bool { return len(s.Chain()) == 2 })
+		s.HealAll()
+		s.Run(400 * time.Millisecond)
+		for _, l := range told {
+			s.deliver(l.from, Delivery{To: m.self.Addr, Message: l.m})
+		}
+		s.Run(5 * time.Millisecond)
+		epoch, _ := m.Frame().View()
+		serving, _ := s.Named("z1-1").Frame().View()
+		return m.Frame().State() == frame.InService && epoch < serving
+	}
+	if back(false) {
+		t.Error("it is in service in a view that is over")
+	}
+	if !back(true) {
+		t.Error("the seeded defect is not found")
+	}
+}
+
+// Given a machine that asks for news, when a question comes again after the next one, then the next one is
+// answered all the same, and nobody else need be asked. A late one that is taken for new is found.
+func TestALateQuestionForNewsDoesNotDisplaceTheNext(t *testing.T) {
+	others := func(blind bool) (n int) {
+		s := given(t, 1)
+		m := s.Named("z1-2")
+		s.Run(4 * time.Second)
+		home := m.office.Asks()
+		s.Wire = func(from, to string, x *signal.Message) []Delivery {
+			all := []Delivery{{To: to, Message: x}}
+			if x.Kind == signal.Poll && from == m.self.Addr {
+				if s.At(to).self.Addr != *home+":7" {
+					n++
+				}
+				late := *x
+				if blind {
+					late.Call += 1 << 40
+				}
+				all = append(all, Delivery{to, 815 * time.Millisecond, &late})
+			}
+			return all
+		}
+		s.Run(10 * time.Second)
+		return n
+	}
+	if n := others(false); n > 0 {
+		t.Errorf("asked others %d times", n)
+	}
+	if others(true) == 0 {
+		t.Error("the seeded defect is not found")
+	}
+}
