--- a/exchange/events/events.go
+++ b/exchange/events/events.go
@@ -27,6 +27,10 @@
 	FrameState  = Event{25, "state of the frame", 0}
 	InService   = Event{26, "a view is in service", 0}
 	Founding    = Event{27, "naming the core of a first start", 0}
+	Repaired    = Event{28, "the next loss can be borne", 0}
+	Exposed     = Event{29, "the next loss can't be borne", 0}
+	Retired     = Event{30, "removed from the core: what is on this disk counts no more", 0}
+	Changed     = Event{31, "the members of the core have changed", 0}
 	Attached    = Event{40, "attached to the core", 0}
 	Detached    = Event{41, "no machine of the core answers", 0}
 	ConfigTaken = Event{42, "configuration in force", 0}
--- a/exchange/extension/extension.go
+++ b/exchange/extension/extension.go
@@ -60,16 +60,18 @@
 // Extension is one machine's line to the core.
 type Extension struct {
 	Options
-	now      time.Duration
-	state    State
-	registry []signal.Machine
-	epoch    uint64
-	chain    []string
-	version  uint64
-	config   []byte
-	whole    bool // what came did not come out right: the whole is asked for
-	list     *signal.List
-	roster   uint64
+	now        time.Duration
+	state      State
+	registry   []signal.Machine
+	generation uint64 // of the registry
+	joint      bool   // the change to it is not known to be complete
+	epoch      uint64
+	chain      []string
+	version    uint64
+	config     []byte
+	whole      bool // what came did not come out right: the whole is asked for
+	list       *signal.List
+	roster     uint64
 
 	at      string // the machine that is asked
 	call    uint64
@@ -92,10 +94,10 @@
 	done  func(*signal.Message)
 }
 
-// New returns an Extension. Its registry may be known from before.
-func New(now time.Duration, o Options, registry []signal.Machine) *Extension {
+// New returns an Extension. The members of the core may be known from before, as a Roll tells them.
+func New(now time.Duration, o Options, known *signal.Message) *Extension {
 	e := &Extension{Options: o, now: now, calls: map[uint64]*call{}, homeAt: now}
-	e.know(registry)
+	e.know(known)
 	return e
 }
 
@@ -124,12 +126,28 @@
 // Registry returns the machines of the core, as far as known.
 func (e *Extension) Registry() []signal.Machine { return e.registry }
 
-func (e *Extension) know(registry []signal.Machine) {
-	if len(registry) > 0 {
-		e.registry = registry
-		if e.state == Seeking {
-			e.turn()
-		}
+// Roll returns what this machine may tell others of the core; the registry is empty where it knows nothing
+// for sure.
+func (e *Extension) Roll() *signal.Message {
+	m := &signal.Message{Kind: signal.Roll, Generation: e.generation}
+	if !e.joint {
+		m.Registry = e.registry
+	}
+	return m
+}
+
+// know takes what is said of the members. Of a change that is not known to be complete it is taken where
+// nothing else is known, and not told on.
+func (e *Extension) know(m *signal.Message) {
+	joint := len(m.Former) > 0
+	if len(m.Registry) == 0 || m.Generation < e.generation || joint && len(e.registry) > 0 {
+		return
+	}
+	if e.registry, e.joint = m.Registry, joint; !joint {
+		e.generation = m.Generation
+	}
+	if e.state == Seeking {
+		e.turn()
 	}
 }
 
@@ -158,7 +176,7 @@
 	switch {
 	case e.state == Seeking:
 		if now >= e.askAt {
-			e.Hello()
+			e.Hello(0)
 			e.askAt = now + helloEvery
 		}
 		next = e.askAt
@@ -192,10 +210,17 @@
 	return next
 }
 
-// Hello tells the seeds that this machine is there.
-func (e *Extension) Hello() {
-	for _, s := range e.Seeds {
-		e.Actions.Send(s, &signal.Message{Kind: signal.Hello, Zone: e.Self.Zone, Disk: e.Disk, First: e.First})
+// Hello tells the seeds, and the core as far as it is known, that this machine is there. One with a disk that
+// would be a member tells the id of its store.
+func (e *Extension) Hello(id uint64) {
+	to := slices.Clone(e.Seeds)
+	for _, m := range e.registry {
+		to = append(to, m.Addr)
+	}
+	slices.Sort(to)
+	for _, s := range slices.Compact(to) {
+		e.Actions.Send(s, &signal.Message{Kind: signal.Hello, Zone: e.Self.Zone, Disk: e.Disk && id != 0,
+			First: e.First, ID: id})
 	}
 }
 
@@ -210,6 +235,9 @@
 // fail turns to another machine.
 func (e *Extension) fail(wait time.Duration) {
 	e.failed++
+	if e.failed%len(e.registry) == 0 { // none of them answers: they may be members no longer
+		e.Hello(0)
+	}
 	e.homeAt = e.now
 	e.turn()
 	e.askAt = e.now + max(wait, 1)
@@ -236,8 +264,8 @@
 func (e *Extension) Handle(now time.Duration, from string, m *signal.Message) {
 	e.now = now
 	switch m.Kind {
-	case signal.Roll:
-		e.know(m.Registry)
+	case signal.Roll, signal.Notice:
+		e.know(m)
 	case signal.News:
 		if from == e.at && m.Call == e.call && e.askAt == 0 {
 			e.news(m)
@@ -268,7 +296,7 @@
 	}
 	e.become(Attached)
 	if m.Epoch > e.epoch {
-		e.know(m.Registry)
+		e.know(m)
 		e.view(m.Epoch, m.Chain)
 	}
 	if m.Version > e.version && m.Config != nil {
--- a/exchange/frame/chain.go
+++ b/exchange/frame/chain.go
@@ -291,7 +291,7 @@
 		return
 	}
 	r.yes[from] = true
-	if len(r.yes) < f.majority() {
+	if !quorate(func(addr string) bool { return r.yes[addr] }, f.next.voters()...) {
 		return
 	}
 	delete(f.asks, m.Call)
--- a/exchange/frame/founder.go
+++ b/exchange/frame/founder.go
@@ -1,7 +1,6 @@
 package frame
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -11,14 +10,15 @@
 
 // Founding is what a seed keeps of the first start, until a core is named.
 type Founding struct {
+	// Sure says that this disk holds all that the seed promised: it was made in the first life of the
+	// system. A seed on another disk may have promised what it doesn't know.
+	Sure    bool
+	Seeds   []string         // of the first start
 	Pledged uint64           // it takes no draft below this ballot
 	Ballot  uint64           // of the draft that it took last; 0: none
 	Draft   []signal.Machine // the machines of the core, as that has them
 }
 
-// Begun reports whether there is anything in it.
-func (k Founding) Begun() bool { return k.Pledged > 0 }
-
 // FounderState is what a Founder is in.
 type FounderState int
 
@@ -37,7 +37,9 @@
 // Founder names the machines of the core at the first start of the whole system. One runs at each seed; the
 // seeds are the same everywhere then. The first live one in their order proposes whom it has heard of, and a
 // majority of the seeds decides, in two phases and on one value, as for a view: whoever dies midway, and
-// however many propose at once, no two cores are named.
+// however many propose at once, no two cores are named. A seed that may have forgotten what it promised
+// proposes nothing, and its pledge counts only beside those of all other seeds: whatever is decided, one of
+// them knows.
 type Founder struct {
 	o        FounderOptions
 	now      time.Duration
@@ -45,13 +47,12 @@
 	since    time.Duration
 	begun    time.Duration
 	machines map[string]signal.Machine
-	able     map[string]bool          // of those, the ones in their first life: they can be whole at once
 	grown    time.Duration            // when the last machine was heard of
 	heard    map[string]time.Duration // seeds
 	next     Founding                 // what is kept, once all saves under way are done
 	ballot   uint64
-	answers  map[string]bool
-	newest   uint64 // ballot of the draft that was told
+	answers  map[string]bool // by seed: its pledge is sure
+	newest   uint64          // ballot of the draft that was told
 	draft    []signal.Machine
 }
 
@@ -72,7 +73,7 @@
 // NewFounder returns a seed's founder.
 func NewFounder(now time.Duration, o FounderOptions) *Founder {
 	return &Founder{o: o, now: now, since: now, begun: now, grown: now, machines: map[string]signal.Machine{},
-		able: map[string]bool{}, heard: map[string]time.Duration{}, next: o.Kept}
+		heard: map[string]time.Duration{}, next: o.Kept}
 }
 
 // become is the one place where the state changes.
@@ -98,11 +99,8 @@
 	if m.First && slices.Contains(f.o.Seeds, from) { // one that forgot its votes founds nothing
 		f.heard[from] = now
 	}
-	if _, known := f.machines[from]; !known && m.Disk {
-		f.machines[from], f.grown = signal.Machine{Addr: from, Zone: m.Zone}, now
-	}
-	if m.Disk {
-		f.able[from] = m.First
+	if known := f.machines[from]; m.Disk && known.ID != m.ID {
+		f.machines[from], f.grown = signal.Machine{Addr: from, Zone: m.Zone, ID: m.ID}, now
 	}
 	f.Tick(now)
 }
@@ -111,7 +109,7 @@
 func (f *Founder) Tick(now time.Duration) {
 	f.now = now
 	switch {
-	case f.state == Decided || f.o.Known():
+	case f.state == Decided || f.o.Known() || !f.next.Sure:
 	case f.state != Gathering:
 		if now >= f.since+roundWait {
 			f.become(Gathering)
@@ -133,17 +131,11 @@
 	return true
 }
 
-// enough reports whether enough machines are there, and no more come. Most of them must be able to vote in
-// the core from the start, since the others are to be mended by these; and what is acknowledged must outlive
-// the loss of as many as are to be borne.
+// enough reports whether enough machines are there, and no more come: what is acknowledged must outlive the
+// loss of as many as are to be borne. All of them have a vote at once: they are named by the ids of their
+// disks, on which all is that they will have acknowledged.
 func (f *Founder) enough() bool {
-	able := 0
-	for _, a := range f.able {
-		if a {
-			able++
-		}
-	}
-	if 2*able <= len(f.machines) || len(f.machines) <= f.o.Survive {
+	if len(f.machines) <= f.o.Survive {
 		return false
 	}
 	return len(f.machines) >= 2*f.o.Survive+1 && f.now >= f.grown+foundQuiet || f.now >= f.begun+foundFew
@@ -157,9 +149,10 @@
 	for _, m := range f.machines {
 		f.draft = append(f.draft, m)
 	}
-	slices.SortFunc(f.draft, func(a, b signal.Machine) int { return cmp.Compare(a.Addr, b.Addr) })
+	slices.SortFunc(f.draft, byAddr)
+	f.draft = seated(f.draft)
 	f.become(Pledging)
-	f.toSeeds(&signal.Message{Kind: signal.Pledge, Epoch: f.ballot})
+	f.toSeeds(&signal.Message{Kind: signal.Pledge, Epoch: f.ballot, Chain: f.o.Seeds})
 }
 
 func (f *Founder) toSeeds(m *signal.Message) {
@@ -171,7 +164,11 @@
 // Handle takes a message of founding.
 func (f *Founder) Handle(now time.Duration, from string, m *signal.Message) {
 	f.now = now
-	if !slices.Contains(f.o.Seeds, from) {
+	seeds := f.o.Seeds
+	if m.Kind == signal.Pledge && !f.next.Sure { // its settings may name others by now
+		seeds = m.Chain
+	}
+	if !slices.Contains(seeds, from) || !slices.Contains(seeds, f.o.Self) {
 		return
 	}
 	switch m.Kind {
@@ -191,10 +188,10 @@
 	if m.Epoch <= f.next.Pledged || f.o.Known() {
 		return // who asks tries again, under a higher one
 	}
-	f.next.Pledged = m.Epoch
+	f.next.Pledged, f.next.Seeds = m.Epoch, m.Chain
 	f.keep(func(k Founding) {
 		f.o.Actions.Send(from, &signal.Message{Kind: signal.Pledged, Life: m.Life, Epoch: m.Epoch,
-			Version: k.Ballot, Registry: k.Draft})
+			Version: k.Ballot, Registry: k.Draft, OK: k.Sure})
 	})
 }
 
@@ -216,7 +213,14 @@
 	if m.Version > f.newest && len(m.Registry) > 0 {
 		f.newest, f.draft = m.Version, m.Registry
 	}
-	if f.answers[from] = true; len(f.answers) >= f.majority() {
+	f.answers[from] = m.OK
+	sure := 0
+	for _, s := range f.answers {
+		if s {
+			sure++
+		}
+	}
+	if sure >= f.majority() || len(f.answers) == len(f.o.Seeds) {
 		f.become(Drafting)
 		f.toSeeds(&signal.Message{Kind: signal.Draft, Epoch: f.ballot, Registry: f.draft})
 	}
@@ -227,7 +231,10 @@
 	if m.Epoch < f.next.Pledged || len(m.Registry) == 0 || f.o.Known() {
 		return
 	}
-	f.next = Founding{Pledged: m.Epoch, Ballot: m.Epoch, Draft: m.Registry}
+	if !f.next.Sure && m.Epoch != f.next.Pledged { // it may have pledged a later one
+		return
+	}
+	f.next.Pledged, f.next.Ballot, f.next.Draft = m.Epoch, m.Epoch, m.Registry
 	f.keep(func(Founding) {
 		f.o.Actions.Send(from, &signal.Message{Kind: signal.Drafted, Life: m.Life, Epoch: m.Epoch})
 	})
--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -38,11 +38,15 @@
 
 // Record is what a machine keeps on its disk.
 type Record struct {
-	Whole    bool // it has all that was acknowledged, and may vote
-	Registry []signal.Machine
-	Promised uint64   // no view below this epoch gets anything from here
-	Epoch    uint64   // of the view installed last
-	Chain    []string // and its machines
+	Whole    bool             // it has all that was acknowledged, and may vote
+	ID       uint64           // of this store, made with it: with the address, it is who this machine is
+	Registry []signal.Machine // the members of the core, in the order of their addresses
+	// Generation is the epoch of the view that installed the registry; 0: the first start did.
+	Generation uint64
+	Former     []signal.Machine // the registry before, until the change is known to be complete
+	Promised   uint64           // no view below this epoch gets anything from here
+	Epoch      uint64           // of the view installed last
+	Chain      []string         // and its machines
 	Content
 	Founding Founding // of a seed, at the first start
 }
@@ -76,10 +80,14 @@
 // Options are what New needs.
 type Options struct {
 	Self    signal.Machine
-	Survive int    // machines that may be lost together
-	First   bool   // the whole system starts for the first time
-	Disk    Record // as found; the zero Record where nothing was
-	Actions Actions
+	Survive int // machines that may be lost together
+	// LostAfter is for how long a member must be silent before another machine takes its place.
+	LostAfter time.Duration
+	Life      uint64 // a number of this life of the process: a store that is made in it gets it as its id
+	First     bool   // the whole system starts for the first time
+	Seeds     []string
+	Disk      Record // as found; the zero Record where nothing was
+	Actions   Actions
 }
 
 // Frame is one machine's part of the core.
@@ -97,6 +105,11 @@
 	ill   bool
 	slow  time.Duration // when a save last took too long
 
+	candidates map[string]*candidate // machines with a disk that would be members
+	leaving    bool                  // this process was told to stop
+	retired    uint64                // how often this life has given up its membership
+	spare      int                   // losses that could be borne when last looked
+
 	peers     map[string]*peer
 	beatAt    time.Duration
 	beats     int
@@ -143,7 +156,9 @@
 	heard, first     time.Duration // the last beat, and the first of the unbroken row
 	along            time.Duration // when it was last in service in the same view
 	whole, ill       bool
+	leaving, joint   bool
 	epoch            uint64
+	generation       uint64
 	listEpoch, listN uint64
 }
 
@@ -151,9 +166,10 @@
 func New(now time.Duration, o Options) *Frame {
 	f := &Frame{Options: o, self: o.Self.Addr, now: now, rec: o.Disk, next: o.Disk, peers: map[string]*peer{},
 		asks: map[uint64]*ask{}, polls: map[string]poll{}, members: map[string]member{},
-		packs: map[[2]uint64]*signal.Packed{}, beatAt: now,
+		candidates: map[string]*candidate{}, packs: map[[2]uint64]*signal.Packed{}, beatAt: now,
 		slow: -healthyFor, epoch: o.Disk.Epoch, chain: o.Disk.Chain, wishAt: now}
 	f.rec.Content, f.next.Content = o.Disk.known(), o.Disk.known()
+	f.identify()
 	switch {
 	case o.Disk.Whole:
 		f.become(Aside)
@@ -187,8 +203,13 @@
 	}
 }
 
-// Blank reports whether this machine knows no core.
-func (f *Frame) Blank() bool { return f.state == Blank && len(f.next.Registry) == 0 }
+// Blank reports whether this machine is no member of the core, and would be one.
+func (f *Frame) Blank() bool {
+	return f.state == Blank && !f.leaving && f.rec.ID != 0 && f.rec.ID == f.next.ID
+}
+
+// Founding returns what is kept of the first start.
+func (f *Frame) Founding() Founding { return f.next.Founding }
 
 // Record returns what is on disk.
 func (f *Frame) Record() Record { return f.rec }
@@ -253,11 +274,10 @@
 }
 
 // majority is how many machines of the core agree for all.
-func (f *Frame) majority() int { return len(f.rec.Registry)/2 + 1 }
+func (f *Frame) majority() int { return majority(f.rec.Registry) }
 
-func (f *Frame) ofCore(addr string) bool {
-	return slices.ContainsFunc(f.rec.Registry, func(m signal.Machine) bool { return m.Addr == addr })
-}
+// ofCore reports whether an address is a member's, or was before a change that is not complete.
+func (f *Frame) ofCore(addr string) bool { return at(f.rec.Registry, addr) || at(f.rec.Former, addr) }
 
 // live reports whether a machine of the core is heard, and can hold what it is given.
 func (f *Frame) live(addr string) bool {
@@ -274,22 +294,22 @@
 	if f.state != InService {
 		return false
 	}
-	n := 0
-	for _, m := range f.rec.Registry {
-		p := f.peers[m.Addr]
-		if m.Addr == f.self || p != nil && p.epoch == f.epoch && f.now < p.heard+deadAfter {
-			n++
-		}
-	}
-	return n >= f.majority()
+	return quorate(func(addr string) bool {
+		p := f.peers[addr]
+		return addr == f.self || p != nil && p.epoch == f.epoch && f.now < p.heard+deadAfter
+	}, f.next.voters()...)
 }
 
 // Handle takes a message.
 func (f *Frame) Handle(now time.Duration, from string, m *signal.Message) {
 	f.now = now
 	switch m.Kind {
-	case signal.Roll, signal.Found:
-		f.found(m)
+	case signal.Roll, signal.Notice:
+		f.told(m)
+	case signal.Learn:
+		f.learn(from, m)
+	case signal.Learned:
+		f.learned(from, m)
 	case signal.Beat:
 		f.beaten(from, m)
 	case signal.Prepare:
@@ -315,7 +335,7 @@
 	case signal.Confirm:
 		// Not what this machine serves, but what it has promised: no later view can be in service unless a
 		// majority has promised its epoch.
-		ok := f.rec.Whole && f.next.Promised == m.Epoch
+		ok := f.rec.Whole && f.next.Whole && f.next.Promised == m.Epoch
 		f.Actions.Send(from, &signal.Message{Kind: signal.Confirmed, Life: m.Life, Call: m.Call, Epoch: m.Epoch,
 			OK: ok})
 	case signal.Confirmed:
@@ -334,25 +354,6 @@
 	f.save(then)
 }
 
-// found takes the machines of the core, at the first start of the system, or as a machine that knows of none.
-func (f *Frame) found(m *signal.Message) {
-	first := m.Kind == signal.Found && (f.First || f.next.Founding.Begun()) && !f.next.Whole && f.next.Epoch == 0
-	if !first && (len(f.next.Registry) > 0 || f.First || m.Kind == signal.Found) ||
-		!slices.ContainsFunc(m.Registry, func(r signal.Machine) bool { return r.Addr == f.self }) {
-		return
-	}
-	f.next.Registry = m.Registry
-	// A machine that lost its disk may have acknowledged what it doesn't have: it is mended first. One in the
-	// first life of the system has had nothing, nor has a seed whose disk tells of the founding and no more.
-	f.next.Whole = first
-	f.save(func() {
-		f.Actions.Log(events.Registered, "machines", len(f.rec.Registry), "whole", f.rec.Whole)
-		if f.rec.Whole && f.state == Blank {
-			f.become(Aside)
-		}
-	})
-}
-
 // Tick does what is due. It is to be called every 50 ms or so.
 func (f *Frame) Tick(now time.Duration) {
 	f.now = now
@@ -366,13 +367,15 @@
 	}
 	f.expire()
 	f.consider()
+	f.watch()
 	f.resend()
 	f.answerPolls()
 }
 
 // beat tells the others of the core how this machine is.
 func (f *Frame) beat() {
-	m := &signal.Message{Kind: signal.Beat, OK: f.rec.Whole, Ill: f.sick(),
+	m := &signal.Message{Kind: signal.Beat, OK: f.rec.Whole && f.next.Whole, Ill: f.sick(), ID: f.rec.ID,
+		Generation: f.rec.Generation, Joint: len(f.rec.Former) > 0, Leaving: f.leaving,
 		List: &signal.List{Epoch: f.list.Epoch, Seq: f.list.Seq}}
 	if f.beats++; f.beats%membersEach == 0 {
 		m.Members = f.own()
@@ -381,7 +384,7 @@
 		m.Epoch = f.epoch
 		m.Version = f.committed
 	}
-	for _, r := range f.rec.Registry {
+	for _, r := range f.concerned() {
 		if r.Addr != f.self {
 			f.Actions.Send(r.Addr, m)
 		}
@@ -389,7 +392,7 @@
 }
 
 func (f *Frame) beaten(from string, m *signal.Message) {
-	if !f.ofCore(from) {
+	if !f.admits(from, m) {
 		return
 	}
 	p := f.peers[from]
@@ -401,6 +404,7 @@
 		p.first = f.now
 	}
 	p.heard, p.whole, p.ill, p.epoch = f.now, m.OK, m.Ill, m.Epoch
+	p.leaving, p.joint, p.generation = m.Leaving, m.Joint, m.Generation
 	for _, x := range m.Members {
 		f.lease(x, false)
 	}
--- /dev/null
+++ b/exchange/frame/members.go
@@ -0,0 +1,361 @@
+package frame
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"dunespoke/exchange/events"
+	"dunespoke/exchange/signal"
+)
+
+// Times of members, each with its reason.
+const (
+	// lostAfter is for where the settings name no sync_s, half of which it is: a successor has to be a member
+	// within sync_s of its start, and a process that is started again is back within a second.
+	lostAfter  = 2 * time.Second
+	learnEvery = time.Second // to a candidate that has not answered: a configuration may be long
+	mostSeats  = epochStep - 1
+)
+
+// candidate is a machine with a disk that would be a member. It is a learner, without a vote, until a view
+// makes it a member.
+type candidate struct {
+	signal.Machine
+	heard time.Duration
+	asked time.Duration
+	ready bool // it has what there was on its disk
+}
+
+// majority is how many of a registry agree for all.
+func majority(registry []signal.Machine) int { return len(registry)/2 + 1 }
+
+// at reports whether a registry has a member at an address.
+func at(registry []signal.Machine, addr string) bool {
+	return slices.ContainsFunc(registry, func(m signal.Machine) bool { return m.Addr == addr })
+}
+
+// has reports whether a machine is a member: the same disk at the same address.
+func has(registry []signal.Machine, m signal.Machine) bool {
+	return slices.ContainsFunc(registry, func(r signal.Machine) bool { return r.Addr == m.Addr && r.ID == m.ID })
+}
+
+// quorate reports whether those that a condition holds for are a majority of each of some registries.
+func quorate(holds func(addr string) bool, registries ...[]signal.Machine) bool {
+	for _, registry := range registries {
+		n := 0
+		for _, m := range registry {
+			if holds(m.Addr) {
+				n++
+			}
+		}
+		if n < majority(registry) {
+			return false
+		}
+	}
+	return true
+}
+
+// seated gives a registry without seats some, by its order.
+func seated(registry []signal.Machine) []signal.Machine {
+	if slices.ContainsFunc(registry, func(m signal.Machine) bool { return m.Seat != 0 }) {
+		return registry
+	}
+	registry = slices.Clone(registry)
+	for i := range registry {
+		registry[i].Seat = uint64(i) + 1
+	}
+	return registry
+}
+
+// byAddr is the agreed order of a registry.
+func byAddr(a, b signal.Machine) int { return strings.Compare(a.Addr, b.Addr) }
+
+// identify gives a store that has just been made its id. That of an earlier program goes by the one that it
+// has in its registry.
+func (f *Frame) identify() {
+	for _, r := range []*Record{&f.rec, &f.next} {
+		r.Registry, r.Former = seated(r.Registry), seated(r.Former)
+	}
+	if f.rec.ID != 0 {
+		return
+	}
+	for _, m := range f.rec.Registry {
+		if m.Addr == f.self && f.rec.Whole {
+			f.rec.ID, f.next.ID = m.ID, m.ID
+			return
+		}
+	}
+	f.next.ID = max(1, f.Life)
+	if f.First {
+		f.next.Founding = Founding{Sure: true, Seeds: f.Seeds}
+	}
+	f.save(nil)
+}
+
+// me is this machine with its present store.
+func (f *Frame) me() signal.Machine {
+	return signal.Machine{Addr: f.self, Zone: f.Self.Zone, ID: f.next.ID}
+}
+
+// voters returns the registries of which a majority each has to agree: the one before, too, while a change
+// is not known to be complete.
+func (r *Record) voters() [][]signal.Machine {
+	if len(r.Former) > 0 {
+		return [][]signal.Machine{r.Registry, r.Former}
+	}
+	return [][]signal.Machine{r.Registry}
+}
+
+// concerned returns the members, and those before a change that is not known to be complete.
+func (f *Frame) concerned() []signal.Machine {
+	list := f.rec.Registry
+	for _, m := range f.rec.Former {
+		if !at(f.rec.Registry, m.Addr) {
+			list = append(slices.Clip(list), m)
+		}
+	}
+	return list
+}
+
+// Roll returns what this machine tells of the core.
+func (f *Frame) Roll() *signal.Message {
+	return &signal.Message{Kind: signal.Roll, Registry: f.rec.Registry, Generation: f.rec.Generation,
+		Former: f.rec.Former}
+}
+
+// admits reports whether a beat is a member's. One that was removed is told so, and who knows of a newer
+// registry is asked for it.
+func (f *Frame) admits(from string, m *signal.Message) bool {
+	if m.Generation > f.rec.Generation ||
+		m.Generation == f.rec.Generation && len(f.rec.Former) > 0 && !m.Joint {
+		f.Actions.Send(from, &signal.Message{Kind: signal.Hello, Zone: f.Self.Zone})
+	}
+	if has(f.concerned(), signal.Machine{Addr: from, ID: m.ID}) {
+		return true
+	}
+	if m.Generation < f.rec.Generation || m.Joint && len(f.rec.Former) == 0 {
+		r := f.Roll()
+		r.Kind = signal.Notice
+		f.Actions.Send(from, r)
+	}
+	return false
+}
+
+// told takes what another machine says of the members. A machine without a vote waits until a change is
+// known to be complete.
+func (f *Frame) told(m *signal.Message) {
+	switch {
+	case len(m.Registry) == 0:
+	case f.next.Whole:
+		f.adopt(m)
+	case len(m.Former) == 0:
+		f.register(m, has(m.Registry, f.me()))
+	}
+}
+
+// register notes the members on a machine without a vote. Whoever stands in the registry of the first start
+// with this very disk has had all that was acknowledged since: it is whole. Others are mended by a view.
+func (f *Frame) register(m *signal.Message, mine bool) {
+	if !mine {
+		f.next.Registry, f.next.Former, f.next.Generation = nil, nil, 0
+		return
+	}
+	if len(f.next.Registry) > 0 && m.Generation <= f.next.Generation {
+		return
+	}
+	f.next.Registry, f.next.Former, f.next.Generation = seated(m.Registry), nil, m.Generation
+	f.next.Whole = m.Generation == 0 && f.next.Epoch == 0
+	f.save(func() {
+		f.Actions.Log(events.Registered, "machines", len(f.rec.Registry), "whole", f.rec.Whole)
+		if f.rec.Whole && f.state == Blank {
+			f.become(Aside)
+		}
+	})
+}
+
+// adopt takes a newer registry, if it is one. It may be of a change that is not known to be complete: then
+// both registries have to agree from here on. A machine that is in neither was removed.
+func (f *Frame) adopt(m *signal.Message) {
+	known := m.Generation == f.next.Generation && (len(f.next.Former) == 0 || len(m.Former) > 0)
+	if m.Generation < f.next.Generation || known {
+		return
+	}
+	if !has(m.Registry, f.me()) && !has(m.Former, f.me()) {
+		f.retire(m.Generation)
+		return
+	}
+	f.next.Registry, f.next.Former, f.next.Generation = m.Registry, m.Former, m.Generation
+	f.save(nil)
+	if f.round != nil { // it was asked for by the older one
+		f.become(Aside)
+	}
+}
+
+// retire gives up this machine's membership, for ever: it was removed. What it holds counts no more, and it
+// may come back as another member, with another id. What it has promised stays.
+func (f *Frame) retire(generation uint64) {
+	f.Actions.Log(events.Retired, "generation", generation)
+	f.retired++
+	f.next = Record{ID: f.Life ^ f.retired<<40, Promised: f.next.Promised, Epoch: f.next.Epoch}
+	f.took = 0
+	f.become(Blank)
+	f.save(nil)
+}
+
+// Hello notes a machine with a disk that would be a member.
+func (f *Frame) Hello(now time.Duration, from string, m *signal.Message) {
+	f.now = now
+	if from == f.self || has(f.rec.Registry, signal.Machine{Addr: from, ID: m.ID}) {
+		return
+	}
+	c := f.candidates[from]
+	if c == nil || c.ID != m.ID {
+		c = &candidate{Machine: signal.Machine{Addr: from, Zone: m.Zone, ID: m.ID}}
+		f.candidates[from] = c
+	}
+	c.heard = now
+	if f.state == InService && !c.ready && f.first() == f.self && (c.asked == 0 || now >= c.asked+learnEvery) {
+		c.asked = now
+		f.Actions.Send(from, &signal.Message{Kind: signal.Learn, ID: c.ID, Stamp: f.rec.Stamp,
+			Version: f.rec.Version, Past: f.rec.Past, Config: signal.Pack(f.rec.Config, 0, nil)})
+	}
+}
+
+// learn takes what there is, as a machine without a vote: a view that makes it a member finds it there.
+func (f *Frame) learn(from string, m *signal.Message) {
+	if f.state != Blank || f.next.Whole || m.ID != f.rec.ID || f.sick() {
+		return
+	}
+	config, err := f.text(m)
+	if err != nil {
+		return
+	}
+	f.next.Content = Content{Stamp: m.Stamp, Version: m.Version, Config: config, Past: m.Past}
+	f.save(func() {
+		f.Actions.Send(from, &signal.Message{Kind: signal.Learned, ID: m.ID, Version: m.Version})
+	})
+}
+
+func (f *Frame) learned(from string, m *signal.Message) {
+	if c := f.candidates[from]; c != nil && c.ID == m.ID {
+		c.ready, c.heard = true, f.now
+	}
+}
+
+// change is the registry that there should be next; nil: the present one. It is asked for while a view
+// serves well, so one change follows the other.
+func (f *Frame) change() []signal.Machine {
+	if len(f.rec.Former) > 0 || len(f.next.Former) > 0 || f.first() != f.self || !f.Fresh() {
+		return nil
+	}
+	for addr, c := range f.candidates {
+		if f.now > c.heard+deadAfter || has(f.rec.Registry, c.Machine) {
+			delete(f.candidates, addr)
+		}
+	}
+	var ready []*candidate
+	for _, c := range f.candidates {
+		if c.ready {
+			ready = append(ready, c)
+		}
+	}
+	slices.SortFunc(ready, func(a, b *candidate) int { return byAddr(a.Machine, b.Machine) })
+	for _, c := range ready { // its disk is another one: the old one is gone
+		if at(f.rec.Registry, c.Addr) {
+			return f.replaced(c.Addr, c.Machine)
+		}
+	}
+	if len(ready) == 0 {
+		return nil
+	}
+	if gone := f.gone(); gone != "" {
+		zone := ""
+		for _, m := range f.rec.Registry {
+			if m.Addr == gone {
+				zone = m.Zone
+			}
+		}
+		i := max(0, slices.IndexFunc(ready, func(c *candidate) bool { return c.Zone == zone }))
+		return f.replaced(gone, ready[i].Machine)
+	}
+	if len(f.rec.Registry) < 2*f.Survive+1 {
+		return f.replaced("", ready[0].Machine)
+	}
+	return nil
+}
+
+// gone is the member whose place another should take: one that leaves, or the one that is lost for longest.
+func (f *Frame) gone() string {
+	lost, since := "", f.now-cmp.Or(f.LostAfter, lostAfter)
+	for _, m := range f.rec.Registry {
+		p := f.peers[m.Addr]
+		switch {
+		case m.Addr == f.self && f.leaving, p != nil && p.leaving:
+			return m.Addr
+		case m.Addr == f.self:
+		case p == nil && f.since < since: // not heard in this life, and long since this view began
+			lost, since = m.Addr, f.since
+		case p != nil && p.heard < since:
+			lost, since = m.Addr, p.heard
+		}
+	}
+	return lost
+}
+
+// replaced is the registry with a machine in place of another, or, where that is empty, besides all; nil:
+// there is no seat for it.
+func (f *Frame) replaced(old string, fresh signal.Machine) []signal.Machine {
+	taken := map[uint64]bool{}
+	var list []signal.Machine
+	for _, m := range f.rec.Registry {
+		if taken[m.Seat] = true; m.Addr != old {
+			list = append(list, m)
+		}
+	}
+	for fresh.Seat = 1; taken[fresh.Seat]; fresh.Seat++ {
+	}
+	if fresh.Seat > mostSeats {
+		return nil
+	}
+	list = append(list, fresh)
+	slices.SortFunc(list, byAddr)
+	return list
+}
+
+// Leave notes that this process was told to stop: another machine may take its place, and until it has,
+// this one stays a member.
+func (f *Frame) Leave(now time.Duration) {
+	f.now, f.leaving = now, true
+	f.beat()
+}
+
+// Spare is how many machines of the core may be lost now with nothing lost and a view that serves again; 0
+// on one that does not know that a view serves. A repair has ended once it is what is to be borne.
+func (f *Frame) Spare() int {
+	if !f.Fresh() || len(f.rec.Former) > 0 {
+		return 0
+	}
+	n := 0
+	for _, addr := range f.chain {
+		p := f.peers[addr]
+		if addr == f.self && !f.sick() || p != nil && f.live(addr) && p.whole && p.epoch == f.epoch &&
+			p.generation == f.rec.Generation && !p.joint {
+			n++
+		}
+	}
+	return max(0, n-max(f.majority(), f.least()))
+}
+
+// watch tells when the losses that are to be borne can be borne again, and when not.
+func (f *Frame) watch() {
+	spare, was := f.Spare(), f.spare
+	f.spare = spare
+	switch {
+	case spare >= f.Survive && was < f.Survive:
+		f.Actions.Log(events.Repaired, "spare", spare, "epoch", f.epoch, "members", len(f.rec.Registry))
+	case spare < f.Survive && was >= f.Survive:
+		f.Actions.Log(events.Exposed, "spare", spare, "epoch", f.epoch)
+	}
+}
--- a/exchange/frame/news.go
+++ b/exchange/frame/news.go
@@ -66,6 +66,7 @@
 	if m.OK {
 		if f.epoch != p.Epoch {
 			m.Epoch, m.Chain, m.Registry, now = f.epoch, f.chain, f.rec.Registry, true
+			m.Generation = f.rec.Generation
 		}
 		// What is on this disk and not committed yet is no news.
 		if f.committed > p.Version && f.rec.Version == f.committed {
--- a/exchange/frame/view.go
+++ b/exchange/frame/view.go
@@ -12,6 +12,12 @@
 type round struct {
 	epoch    uint64
 	chain    []string
+	registry []signal.Machine
+	former   []signal.Machine // of a change: the registry that it replaces
+	gen      uint64
+	must     [][]signal.Machine // a majority of each has to promise
+	leavers  []string           // live members of former alone: they install, and are in no chain
+	fresh    string             // the machine that the change makes a member
 	began    time.Duration
 	sent     time.Duration // when the phase's message went out last
 	promised map[string]bool
@@ -41,6 +47,9 @@
 		return
 	case f.state == InService && slices.Equal(want, f.chain) && f.sound():
 		f.wish = nil
+		if next := f.change(); next != nil {
+			f.propose(want, next)
+		}
 		return
 	case !slices.Equal(want, f.wish):
 		f.wish, f.wishAt = want, f.now
@@ -50,7 +59,7 @@
 	case f.now < f.wishAt+f.settle() || f.now < f.since+f.settle():
 		return
 	}
-	f.propose(want)
+	f.propose(want, nil)
 }
 
 // settle is how long a wish must last. A machine that serves nothing has nothing to lose by a wrong one.
@@ -73,7 +82,7 @@
 // first is the first live machine of the core in the agreed order.
 func (f *Frame) first() string {
 	for _, m := range f.rec.Registry {
-		if f.live(m.Addr) && (m.Addr == f.self && f.rec.Whole || m.Addr != f.self && f.peers[m.Addr].whole) {
+		if f.votes(m.Addr) {
 			return m.Addr
 		}
 	}
@@ -83,7 +92,6 @@
 // wanted is the chain that there should be, in the agreed order; nil where too few live for any.
 func (f *Frame) wanted() []string {
 	var want []string
-	voters := 0
 	for _, m := range f.rec.Registry {
 		if !f.live(m.Addr) {
 			continue
@@ -93,26 +101,60 @@
 			f.state == InService {
 			continue
 		}
-		if m.Addr == f.self && f.rec.Whole || p != nil && p.whole {
-			voters++
-		}
 		want = append(want, m.Addr)
 	}
-	if voters < f.majority() || len(want) < f.least() {
+	if !quorate(f.votes, f.rec.voters()...) || len(want) < f.least() {
 		return nil
 	}
 	return want
 }
 
+// votes reports whether a member is heard, and has a vote.
+func (f *Frame) votes(addr string) bool {
+	if addr == f.self {
+		return f.live(addr) && f.rec.Whole
+	}
+	return f.live(addr) && f.peers[addr].whole
+}
+
 // least is the fewest machines of a chain: what one of it acknowledges must outlive the loss of as many as
 // are to be borne.
-func (f *Frame) least() int { return min(f.Survive+1, len(f.rec.Registry)) }
+func (f *Frame) least() int { return f.leastOf(f.rec.Registry) }
+
+func (f *Frame) leastOf(registry []signal.Machine) int { return min(f.Survive+1, len(registry)) }
 
-func (f *Frame) propose(want []string) {
-	rank := uint64(slices.IndexFunc(f.rec.Registry, func(m signal.Machine) bool { return m.Addr == f.self }))
-	epoch := (max(f.next.Promised, f.epoch, f.floor)/epochStep+1)*epochStep + rank
+// propose asks for promises of a view. With other members, those before have to promise, and a majority of
+// both has to have the view on disk before it is in service. A change that may be in service, or not, is gone
+// on with.
+func (f *Frame) propose(want []string, change []signal.Machine) {
+	i := slices.IndexFunc(f.rec.Registry, func(m signal.Machine) bool { return m.Addr == f.self })
+	if i < 0 || f.next.Generation != f.rec.Generation || len(f.next.Former) != len(f.rec.Former) {
+		return // another registry is being saved
+	}
+	epoch := (max(f.next.Promised, f.epoch, f.floor)/epochStep+1)*epochStep + f.rec.Registry[i].Seat
 	r := &round{epoch: epoch, chain: want, began: f.now, promised: map[string]bool{}, has: map[string]bool{},
-		newest: f.rec.Content}
+		newest: f.rec.Content, registry: f.rec.Registry, former: f.rec.Former, gen: f.rec.Generation,
+		must: f.rec.voters()}
+	if change != nil {
+		r.registry, r.former = change, f.rec.Registry
+		r.chain = nil
+		for _, m := range change {
+			if !has(r.former, m) {
+				r.fresh = m.Addr
+			}
+			if m.Addr == r.fresh || slices.Contains(want, m.Addr) {
+				r.chain = append(r.chain, m.Addr)
+			}
+		}
+	}
+	if len(r.former) > 0 {
+		r.gen = epoch
+	}
+	for _, m := range r.former {
+		if !at(r.registry, m.Addr) && f.votes(m.Addr) {
+			r.leavers = append(r.leavers, m.Addr)
+		}
+	}
 	f.become(Proposing)
 	f.round = r
 	f.next.Promised = epoch
@@ -126,16 +168,19 @@
 	})
 }
 
+// all returns the machines that are to have the view on disk.
+func (r *round) all() []string { return append(slices.Clone(r.chain), r.leavers...) }
+
 // sendRound sends the phase's message to all of the round that have not answered it.
 func (f *Frame) sendRound() {
 	r := f.round
 	r.sent = f.now
 	m, has := &signal.Message{Kind: signal.Prepare, Epoch: r.epoch, Stamp: f.rec.Stamp,
-		Version: f.rec.Version, Past: f.rec.last()}, r.promised
+		Version: f.rec.Version, Past: f.rec.last(), Generation: f.rec.Generation}, r.promised
 	if f.state == Installing {
 		m, has = r.install, r.has
 	}
-	for _, to := range r.chain {
+	for _, to := range r.all() {
 		if to != f.self && !has[to] {
 			f.Actions.Send(to, m)
 		}
@@ -143,7 +188,14 @@
 }
 
 func (f *Frame) prepare(from string, m *signal.Message) {
-	if !f.rec.Whole || !f.ofCore(from) || f.sick() {
+	if !f.rec.Whole || !f.next.Whole || f.sick() {
+		return
+	}
+	if m.Generation < f.rec.Generation {
+		f.refuse(from, m.Life)
+		return
+	}
+	if !f.ofCore(from) && m.Generation == f.rec.Generation {
 		return
 	}
 	if m.Epoch == f.rec.Promised && m.Epoch == f.next.Promised && f.took != m.Epoch { // its answer was lost
@@ -154,7 +206,7 @@
 		return // it is being saved
 	}
 	if m.Epoch <= f.next.Promised {
-		f.Actions.Send(from, &signal.Message{Kind: signal.Refuse, Life: m.Life, Epoch: f.next.Promised})
+		f.refuse(from, m.Life)
 		return
 	}
 	f.next.Promised = m.Epoch
@@ -167,9 +219,16 @@
 	})
 }
 
+// refuse tells why nothing is promised: by the epoch that was, and the registry.
+func (f *Frame) refuse(to string, life uint64) {
+	m := f.Roll()
+	m.Kind, m.Life, m.Epoch = signal.Refuse, life, f.next.Promised
+	f.Actions.Send(to, m)
+}
+
 func (f *Frame) answerPrepare(from string, m *signal.Message) {
 	p := &signal.Message{Kind: signal.Promise, Life: m.Life, Epoch: m.Epoch, Stamp: f.rec.Stamp,
-		Version: f.rec.Version}
+		Version: f.rec.Version, ID: f.rec.ID}
 	if f.rec.newer(m.Stamp, m.Version) {
 		p.Past = f.rec.Past
 		if len(m.Past) == 0 || !f.rec.same(m.Past[len(m.Past)-1]) {
@@ -181,7 +240,8 @@
 
 func (f *Frame) promised(from string, m *signal.Message) {
 	r := f.round
-	if r == nil || r.epoch != m.Epoch || f.state != Proposing {
+	if r == nil || r.epoch != m.Epoch || f.state != Proposing ||
+		!has(slices.Concat(r.must...), signal.Machine{Addr: from, ID: m.ID}) {
 		return
 	}
 	told := Content{Stamp: m.Stamp, Version: m.Version, Past: m.Past}
@@ -198,32 +258,38 @@
 func (f *Frame) promise(from string) {
 	r := f.round
 	r.promised[from] = true
-	voters := 0
-	for _, addr := range r.chain {
-		if p := f.peers[addr]; addr == f.self || p != nil && p.whole {
-			voters++
+	for _, addr := range r.all() {
+		if at(slices.Concat(r.must...), addr) && addr != r.fresh && f.votes(addr) && !r.promised[addr] {
+			return
 		}
 	}
-	if len(r.promised) == voters && voters >= f.majority() {
+	if quorate(r.hasPromised, r.must...) {
 		f.handOut()
 	}
 }
 
+func (r *round) hasPromised(addr string) bool { return r.promised[addr] }
+
 // handOut gives the view to its machines: those that promised, and those that are to be mended.
 func (f *Frame) handOut() {
 	r := f.round
 	r.chain = slices.DeleteFunc(slices.Clone(r.chain), func(addr string) bool {
 		p := f.peers[addr]
-		return !r.promised[addr] && addr != f.self && (p == nil || p.whole)
+		return !r.promised[addr] && addr != f.self && addr != r.fresh && (p == nil || p.whole)
 	})
-	if len(r.promised) < f.majority() || len(r.chain) < f.least() {
+	r.leavers = slices.DeleteFunc(r.leavers, func(addr string) bool { return !r.promised[addr] })
+	installs := func(addr string) bool { return slices.Contains(r.all(), addr) }
+	serves := func(addr string) bool { return slices.Contains(r.chain, addr) }
+	if !quorate(r.hasPromised, r.must...) || !quorate(serves, r.registry) ||
+		len(r.former) > 0 && !quorate(installs, r.former) || len(r.chain) < f.leastOf(r.registry) {
 		f.become(Aside)
 		return
 	}
 	f.become(Installing)
 	r.began = f.now
 	f.round = r
-	r.install = &signal.Message{Kind: signal.Install, Epoch: r.epoch, Chain: r.chain, Registry: f.rec.Registry,
+	r.install = &signal.Message{Kind: signal.Install, Epoch: r.epoch, Chain: r.chain, Registry: r.registry,
+		Former: r.former, Generation: r.gen,
 		Version: r.newest.Version, Config: signal.Pack(r.newest.Config, 0, nil), Past: r.newest.Past}
 	f.sendRound()
 	f.take(r.install, r.newest.Config, func() { f.installed(f.self, &signal.Message{Epoch: r.epoch}) })
@@ -246,7 +312,7 @@
 // was never acknowledged.
 func (f *Frame) take(m *signal.Message, config []byte, then func()) {
 	f.next.Epoch, f.next.Chain, f.next.Promised, f.next.Whole = m.Epoch, m.Chain, m.Epoch, true
-	f.next.Registry = m.Registry
+	f.next.Registry, f.next.Former, f.next.Generation = m.Registry, m.Former, m.Generation
 	f.next.Content = Content{Stamp: m.Epoch, Version: m.Version, Config: config, Past: m.Past}
 	clear(f.packs)
 	f.save(func() {
@@ -256,8 +322,8 @@
 }
 
 func (f *Frame) install(from string, m *signal.Message) {
-	if len(f.rec.Registry) > 0 && !f.ofCore(from) || m.Epoch < f.next.Promised || len(m.Registry) == 0 ||
-		f.sick() {
+	if m.Epoch < f.next.Promised || m.Generation < f.next.Generation || f.sick() ||
+		!has(m.Registry, f.me()) && !has(m.Former, f.me()) { // it may be for another disk at this address
 		return
 	}
 	if f.took == m.Epoch { // its answer was lost
@@ -288,13 +354,13 @@
 		return
 	}
 	r.has[from] = true
-	for _, addr := range r.chain {
+	for _, addr := range r.all() {
 		if !r.has[addr] {
 			return
 		}
 	}
 	m = &signal.Message{Kind: signal.Active, Epoch: r.epoch, Chain: r.chain, Version: r.newest.Version}
-	for _, addr := range r.chain {
+	for _, addr := range r.all() {
 		if addr != f.self {
 			f.Actions.Send(addr, m)
 		}
@@ -310,6 +376,9 @@
 		f.state == InService && f.epoch == m.Epoch {
 		return
 	}
+	if f.complete(m.Epoch); f.state == Blank {
+		return
+	}
 	f.epoch, f.chain = m.Epoch, m.Chain
 	f.commit(m.Version)
 	f.become(InService)
@@ -322,8 +391,25 @@
 	f.advance()
 }
 
-// refused ends a proposal that came too late.
+// complete notes that a change of members is so: its view is on the disks of a majority before and after.
+func (f *Frame) complete(epoch uint64) {
+	if len(f.next.Former) == 0 || f.next.Generation != epoch {
+		return
+	}
+	if !has(f.next.Registry, f.me()) {
+		f.retire(f.next.Generation)
+		return
+	}
+	f.next.Former = nil
+	f.save(nil)
+	f.Actions.Log(events.Changed, "generation", f.next.Generation, "members", len(f.next.Registry))
+}
+
+// refused ends a proposal that came too late, or by members that are so no longer.
 func (f *Frame) refused(m *signal.Message) {
+	if f.next.Whole && len(m.Registry) > 0 {
+		f.adopt(m)
+	}
 	if f.round == nil || m.Epoch <= f.round.epoch {
 		return
 	}
@@ -333,7 +419,7 @@
 
 // late ends a phase that took too long, with those that have answered.
 func (f *Frame) late() {
-	if f.state == Proposing && len(f.round.promised) >= f.majority() {
+	if f.state == Proposing && quorate(f.round.hasPromised, f.round.must...) {
 		f.handOut()
 		return
 	}
--- a/exchange/office/office.go
+++ b/exchange/office/office.go
@@ -24,11 +24,14 @@
 	Self    signal.Machine
 	Seeds   []string // addresses for the system's own processes
 	Survive int      // machines with a disk that may be lost together
-	First   bool     // the whole system starts for the first time
-	Disk    *frame.Record
-	Life    uint64 // of the process: no other has or had it
-	Actions Actions
-	Limits  func(tenant string) toll.Limits
+	// LostAfter is for how long a machine of the core must be silent before another takes its place; 0: two
+	// seconds.
+	LostAfter time.Duration
+	First     bool // the whole system starts for the first time
+	Disk      *frame.Record
+	Life      uint64 // of the process: no other has or had it
+	Actions   Actions
+	Limits    func(tenant string) toll.Limits
 }
 
 // Office is one process's part in control.
@@ -40,6 +43,7 @@
 	desk    *toll.Desk
 	keeping bool
 	helloAt time.Duration // when a machine that is of no core yet says so again
+	rollAt  time.Duration // and when one of the core tells the seeds
 	now     time.Duration
 }
 
@@ -70,36 +74,48 @@
 // New returns an Office.
 func New(now time.Duration, o Options) *Office {
 	o.Actions = asker{o.Actions, o.Life}
+	o.Seeds = slices.Sorted(slices.Values(o.Seeds))
 	f := &Office{o: o, now: now, desk: toll.NewDesk(o.Limits)}
-	var registry []signal.Machine
+	known := &signal.Message{}
 	if o.Disk != nil {
-		f.frame = frame.New(now, frame.Options{Self: o.Self, Survive: o.Survive, First: o.First, Disk: *o.Disk,
-			Actions: o.Actions})
-		registry = o.Disk.Registry
+		f.frame = frame.New(now, frame.Options{Self: o.Self, Survive: o.Survive, LostAfter: o.LostAfter,
+			Life: o.Life, First: o.First, Seeds: o.Seeds, Disk: *o.Disk, Actions: o.Actions})
+		known = f.frame.Roll()
 	}
 	f.found(now)
 	f.ext = extension.New(now, extension.Options{Self: o.Self, Seeds: o.Seeds, Disk: o.Disk != nil,
-		First: f.first(), Actions: watch{o.Actions, f}}, registry)
+		First: f.first(), Actions: watch{o.Actions, f}}, known)
 	return f
 }
 
-// first reports whether the whole system starts for the first time: by the settings, or by what a seed kept
-// before it was started again.
+// first reports whether the whole system starts for the first time: by the settings, or by what the disk says
+// from before this process was started again.
 func (f *Office) first() bool {
-	return f.o.First || f.o.Disk != nil && f.o.Disk.Founding.Begun() && !f.o.Disk.Whole
+	if f.frame == nil {
+		return f.o.First
+	}
+	return f.frame.Founding().Sure && !f.o.Disk.Whole
 }
 
-// found makes this seed's founder. A seed that has been started again votes by what it has on its disk, if
-// that is anything: it may have forgotten what it promised.
+// found makes this machine's founder. One that is started again votes by what it has on its disk; without a
+// disk it may have forgotten what it promised, and has no vote.
 func (f *Office) found(now time.Duration) {
-	o := frame.FounderOptions{Self: f.o.Self.Addr, Seeds: slices.Sorted(slices.Values(f.o.Seeds)),
-		Survive: f.o.Survive, Actions: f.o.Actions, Known: func() bool { return len(f.known()) > 0 },
-		Keep: func(_ frame.Founding, then func()) { then() }}
-	if f.frame != nil {
-		o.Kept = f.frame.Record().Founding
-		o.Keep = func(k frame.Founding, then func()) { f.frame.KeepFounding(f.now, k, then) }
+	o := frame.FounderOptions{Self: f.o.Self.Addr, Seeds: f.o.Seeds,
+		Survive: f.o.Survive, Actions: f.o.Actions, Known: func() bool { return len(f.known()) > 0 }}
+	if f.frame == nil {
+		o.Kept = frame.Founding{Sure: true, Seeds: o.Seeds}
+		o.Keep = func(_ frame.Founding, then func()) { then() }
+		if f.o.First && slices.Contains(o.Seeds, o.Self) {
+			f.founder = frame.NewFounder(now, o)
+		}
+		return
+	}
+	o.Kept = f.frame.Founding()
+	o.Keep = func(k frame.Founding, then func()) { f.frame.KeepFounding(f.now, k, then) }
+	if o.Kept.Sure {
+		o.Seeds = o.Kept.Seeds
 	}
-	if slices.Contains(o.Seeds, o.Self) && f.first() {
+	if !f.o.Disk.Whole && (slices.Contains(o.Seeds, o.Self) || !o.Kept.Sure) {
 		f.founder = frame.NewFounder(now, o)
 	}
 }
@@ -122,7 +138,7 @@
 		}
 	case signal.News, signal.Copy, signal.Conflict:
 		f.ext.Handle(now, from, m)
-	case signal.Roll:
+	case signal.Roll, signal.Notice:
 		f.ext.Handle(now, from, m)
 		f.toFrame(now, from, m)
 	case signal.Done, signal.Refuse:
@@ -147,16 +163,33 @@
 	if f.founder != nil {
 		f.founder.Hello(now, from, m)
 	}
-	r := f.Registry()
-	if len(r) == 0 {
-		return
+	if f.frame != nil && m.Disk {
+		f.frame.Hello(now, from, m)
+	}
+	if r := f.roll(); len(r.Registry) > 0 {
+		r.Life = m.Life
+		f.o.Actions.Send(from, r)
+	}
+}
+
+// roll is what this machine tells of the core: what its frame has or what it was told, whichever is newer;
+// and what a founder has decided where nothing is known.
+func (f *Office) roll() *signal.Message {
+	m := f.ext.Roll()
+	if f.frame != nil {
+		if own := f.frame.Roll(); len(own.Registry) > 0 && own.Generation >= m.Generation {
+			return own
+		}
 	}
-	if m.First && m.Disk {
-		f.o.Actions.Send(from, &signal.Message{Kind: signal.Found, Life: m.Life, Registry: r})
+	if len(m.Registry) == 0 && f.founder != nil {
+		m.Registry = f.founder.Registry()
 	}
-	f.o.Actions.Send(from, &signal.Message{Kind: signal.Roll, Life: m.Life, Registry: r})
+	return m
 }
 
+// Registry returns the machines of the core, as far as known.
+func (f *Office) Registry() []signal.Machine { return f.roll().Registry }
+
 // known returns the machines of the core as this one was told them.
 func (f *Office) known() []signal.Machine {
 	if f.frame != nil && len(f.frame.Record().Registry) > 0 {
@@ -165,14 +198,6 @@
 	return f.ext.Registry()
 }
 
-// Registry returns the machines of the core, as far as known.
-func (f *Office) Registry() []signal.Machine {
-	if r := f.known(); len(r) > 0 || f.founder == nil {
-		return r
-	}
-	return f.founder.Registry()
-}
-
 func (f *Office) ask(now time.Duration, from string, m *signal.Message) {
 	if f.keep(now) {
 		f.o.Actions.Send(from, f.desk.Ask(now, from, m))
@@ -216,6 +241,10 @@
 // helloEvery is how often a machine with a disk that is of no core says that it is there.
 const helloEvery = 300 * time.Millisecond
 
+// rollEvery is how often a machine of the core tells its seeds who that is: those that have no disk know
+// nothing after a start, and all machines find the core by them.
+const rollEvery = 2 * time.Second
+
 // frameTick is how often a frame is to be looked after.
 const frameTick = 50 * time.Millisecond
 
@@ -229,7 +258,17 @@
 	if f.frame != nil {
 		if f.frame.Blank() && now >= f.helloAt { // its line may know the core, and it is none of that yet
 			f.helloAt = now + helloEvery
-			f.ext.Hello()
+			f.ext.Hello(f.frame.Record().ID)
+		}
+		if f.frame.State() == frame.InService && now >= f.rollAt {
+			f.rollAt = now + rollEvery
+			for _, s := range f.ext.Seeds {
+				if s != f.o.Self.Addr {
+					m := f.roll()
+					m.Kind = signal.Notice
+					f.o.Actions.Send(s, m)
+				}
+			}
 		}
 		f.frame.Tick(now)
 		f.keep(now)
@@ -238,6 +277,13 @@
 	return next
 }
 
+// Leave notes that this process was told to stop.
+func (f *Office) Leave(now time.Duration) {
+	if f.frame != nil {
+		f.frame.Leave(now)
+	}
+}
+
 // Put hands a configuration to the core.
 func (f *Office) Put(now time.Duration, version uint64, config []byte, done func(*signal.Message)) {
 	f.ext.Put(now, version, config, done)
--- /dev/null
+++ b/exchange/rehearsal/members.go
@@ -0,0 +1,122 @@
+package rehearsal
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"dunespoke/exchange/frame"
+	"dunespoke/exchange/signal"
+)
+
+// identity is who a member is: its address, and the id of its store.
+type identity struct {
+	addr string
+	id   uint64
+}
+
+// registries are all that were written on disks, by their generations.
+type registries struct {
+	written map[uint64][]signal.Machine
+	settled map[uint64][]signal.Machine // the change to it was told as complete
+	held    map[identity]uint64         // the highest generation that a disk has had
+}
+
+func newRegistries() registries {
+	return registries{map[uint64][]signal.Machine{}, map[uint64][]signal.Machine{}, map[identity]uint64{}}
+}
+
+// sequence holds all machines to one sequence of registries: those of one generation are the same; and when
+// a disk says that the change to one is complete, a majority of its members, and a majority of those of the
+// one before, have had it, or a later one, on their disks. So whoever goes by the one before, and asks a
+// majority of it, hears of the newer one; no two registries are ever gone by at once.
+func (x *Exchange) sequence(m *Machine, r *frame.Record) {
+	if len(r.Registry) == 0 {
+		return
+	}
+	c, g := &x.cores, r.Generation
+	if old, known := c.written[g]; known && !slices.Equal(old, r.Registry) {
+		x.breaks("%s is of the core %v by generation %d, others of %v", m.Name, r.Registry, g, old)
+	}
+	c.written[g] = r.Registry
+	who := identity{m.self.Addr, r.ID}
+	c.held[who] = max(c.held[who], g)
+	if _, known := c.settled[g]; known || len(r.Former) > 0 {
+		return
+	}
+	c.settled[g] = r.Registry
+	if x.Trace != nil {
+	}
+	order := slices.Sorted(maps.Keys(c.settled))
+	i := slices.Index(order, g)
+	x.meets(r.Registry, g)
+	if i > 0 {
+		x.meets(c.settled[order[i-1]], g)
+	}
+	if i < len(order)-1 { // it was told late
+		x.meets(r.Registry, order[i+1])
+	}
+}
+
+// meets holds a majority of a registry to having had a generation, or a later one, on disk.
+func (x *Exchange) meets(registry []signal.Machine, generation uint64) {
+	n := 0
+	for _, r := range registry {
+		if x.cores.held[identity{r.Addr, r.ID}] >= generation {
+			n++
+		}
+	}
+	if generation > 0 && n <= len(registry)/2 {
+		x.breaks("generation %d is gone by, and %d of the %d members %v know it", generation, n,
+			len(registry), registry)
+	}
+}
+
+// Replace takes a machine away for good, and adds another one with an empty disk in its zone, at a new
+// address. It is to be started.
+func (x *Exchange) Replace(old *Machine) *Machine {
+	old.Kill()
+	old.gone = true
+	x.Machines = slices.DeleteFunc(x.Machines, func(m *Machine) bool { return m == old })
+	return x.Add(old.self.Zone)
+}
+
+// Add adds a machine with an empty disk to a zone, after the first start. It is to be started. Seeds are
+// written anew as it comes: any three that run, of the core or not.
+func (x *Exchange) Add(zone string) *Machine {
+	x.added++
+	x.seeds = nil
+	for _, i := range x.rng.Perm(len(x.Machines)) {
+		if m := x.Machines[i]; m.up && len(x.seeds) < 3 {
+			x.seeds = append(x.seeds, m.self.Addr)
+		}
+	}
+	m := &Machine{Name: fmt.Sprintf("n%d", x.added), disk: true, has: true, x: x, sync: x.Sync,
+		self: signal.Machine{Addr: fmt.Sprintf("10.9.%d.1:7", x.added), Zone: zone}}
+	x.Machines = append(x.Machines, m)
+	return m
+}
+
+// Members returns the addresses of the members by the newest generation that is complete on some disk.
+func (x *Exchange) Members() (list []string) {
+	newest := uint64(0)
+	for g := range x.cores.settled {
+		newest = max(newest, g)
+	}
+	for _, m := range x.cores.settled[newest] {
+		list = append(list, m.Addr)
+	}
+	return list
+}
+
+// Spare is how many losses could be borne now, as the machines in service say; the fewest that any of them
+// does.
+func (x *Exchange) Spare() int {
+	spare := -1
+	for _, m := range x.Disked() {
+		if f := m.Frame(); f != nil && !m.frozen && f.Fresh() && (spare < 0 || f.Spare() < spare) {
+			spare = f.Spare()
+		}
+	}
+	return max(0, spare)
+}
--- /dev/null
+++ b/exchange/rehearsal/members_test.go
@@ -0,0 +1,423 @@
+package rehearsal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"dunespoke/exchange/frame"
+	"dunespoke/exchange/signal"
+)
+
+// member reports whether a machine is a member, with a vote, in a view that serves.
+func (s *story) member(m *Machine) bool {
+	return slices.Contains(s.Members(), m.self.Addr) && slices.Contains(s.Chain(), m.self.Addr) &&
+		m.record.Whole && len(m.record.Former) == 0
+}
+
+// borne waits until the next loss can be borne, and returns for how long.
+func (s *story) borne(limit time.Duration) time.Duration {
+	s.t.Helper()
+	began := s.Now
+	s.then("the next loss can be borne", limit, func() bool { return s.Spare() >= s.Survive })
+	return s.Now - began
+}
+
+// Given a machine of the core that is gone for good, when another one with an empty disk starts in its
+// place, then that is a member within the users' sync_s, with all that was acknowledged; and the old one,
+// when it comes back with its disk, is refused, and comes back as a newcomer that nobody has room for.
+func TestAReplacedMachineBecomesAMember(t *testing.T) {
+	for _, name := range []string{"z1-1", "z2-1", "z3-1"} {
+		s := given(t, 1)
+		old := s.Named(name)
+		old.Kill()
+		s.change(s.Named("z2-2"))
+		fresh := s.Add(old.self.Zone)
+		fresh.Start()
+		s.then("it is a member", 4*time.Second, func() bool { return s.member(fresh) })
+		s.borne(300 * time.Millisecond)
+		s.change(s.Named("z1-2"))
+		id := old.record.ID
+		old.Start()
+		s.then("the old one has given up", 2*time.Second, func() bool {
+			return !old.record.Whole && old.record.ID != id && len(old.record.Registry) == 0
+		})
+		s.Run(4 * time.Second)
+		if slices.Contains(s.Members(), old.self.Addr) || len(s.Chain()) != 3 {
+			t.Errorf("members %v, chain %v", s.Members(), s.Chain())
+		}
+		s.then("all go by the newest", time.Second, func() bool { return s.Settled(s.version) })
+		for _, m := range s.Disked() { // the next loss, at once
+			if m != old && m != fresh {
+				m.Kill()
+				break
+			}
+		}
+		s.change(s.Named("z3-2"))
+		if wrong := s.consistent(); wrong != "" {
+			t.Error(wrong)
+		}
+	}
+}
+
+// Given changes under way, when every machine of the core is replaced in turn, three times over, each gone
+// for good, by one at another address with an empty disk, then nothing acknowledged is lost, and the
+// newcomers alone are the core.
+func TestTheWholeCoreIsReplacedInTurnThreeTimesOver(t *testing.T) {
+	s := given(t, 1)
+	core := s.Disked()
+	for round := range 3 {
+		for i, old := range core {
+			fresh := s.Replace(old)
+			s.change(s.Machines[(round+i)%len(s.Machines)])
+			fresh.Start()
+			s.change(s.Machines[i])
+			s.then(fmt.Sprint(i, " of round ", round, " is a member"), 4*time.Second,
+				func() bool { return s.member(fresh) })
+			s.borne(time.Second)
+			core[i] = fresh
+		}
+	}
+	s.then("all go by it", 2*time.Second, func() bool { return s.Settled(s.version) })
+	s.restartAll()
+	s.then("the newcomers serve", 4*time.Second,
+		func() bool { return len(s.Chain()) == 3 && s.Settled(s.version) })
+	if wrong := s.consistent(); wrong != "" {
+		t.Error(wrong)
+	}
+}
+
+// replacing plays a replacement under changes until a moment: one of the core is gone for good, and a
+// newcomer has started. Without a moment it plays until that is a member.
+func replacing(t *testing.T, until time.Duration) (s *story, fresh *Machine) {
+	t.Helper()
+	s = given(t, 1)
+	fresh = s.Replace(s.Named("z1-1"))
+	s.change(s.Named("z2-1"))
+	fresh.Start()
+	for until == 0 && !s.member(fresh) || s.Now < until {
+		s.change(s.Named("z3-2"))
+		if s.Run(5 * time.Millisecond); until > 0 && s.Now+12*time.Millisecond > until {
+			s.Run(max(0, until-s.Now))
+		}
+	}
+	return s, fresh
+}
+
+// ends holds a story to its end: all is well again, and nothing that was acknowledged is lost.
+func (s *story) ends(what string) {
+	s.t.Helper()
+	s.then(what+": the core serves", 8*time.Second, func() bool { return len(s.Chain()) >= 2 })
+	s.change(s.Named("z3-2"))
+	s.then(what+": all go by the newest", 4*time.Second, func() bool { return s.Settled(s.version) })
+	s.reads(s.Named("z2-2"))
+	if wrong := s.consistent(); wrong != "" {
+		s.t.Errorf("%s: %s", what, wrong)
+	}
+}
+
+// Given a replacement, when at any moment around it all processes of the core are killed, or any one, and
+// start again with their disks, then nothing acknowledged is lost, and the newcomer is a member in the end.
+func TestKillsInTheMiddleOfAReplacement(t *testing.T) {
+	calm, _ := replacing(t, 0)
+	for at := -36 * time.Millisecond; at <= 12*time.Millisecond; at += 2 * time.Millisecond {
+		for victim := range 4 {
+			s, fresh := replacing(t, calm.Now+at)
+			c := s.PutText(s.Named("z3-2"), s.version+2, fmt.Sprint("racing-", at))
+			s.Run(time.Duration(victim) * time.Millisecond)
+			for i, m := range s.Disked() {
+				if victim == 3 || i == victim {
+					m.Kill()
+				}
+			}
+			s.Run(300 * time.Millisecond)
+			for _, m := range s.Disked() {
+				m.Start()
+			}
+			what := fmt.Sprint("victim ", victim, " at ", at)
+			s.then(what+": it is a member", 8*time.Second, func() bool { return s.member(fresh) })
+			s.version = max(s.version, c.Version)
+			s.ends(what)
+		}
+	}
+}
+
+// Given a replacement, when at the moment from which the next loss can be borne, or within the steps after
+// it, any machine of the core is lost with its disk, right after a change, then nothing acknowledged is
+// lost, and the two that are left serve.
+func TestALossRightAfterARepair(t *testing.T) {
+	for after := time.Duration(0); after <= 16*time.Millisecond; after += 2 * time.Millisecond {
+		for victim := range 3 {
+			s, _ := replacing(t, 0)
+			s.borne(4 * time.Second)
+			s.Run(after)
+			s.change(s.Named("z2-2"))
+			m := s.Disked()[victim]
+			m.Kill()
+			m.Wipe()
+			s.ends(fmt.Sprint("victim ", victim, " after ", after))
+			m.Start()
+			s.then("a wiped disk is a newcomer", 6*time.Second, func() bool { return s.member(m) })
+			s.borne(time.Second)
+		}
+	}
+}
+
+// Given any history of machines that are lost for good, wiped, cut off, frozen, stopped in order and added,
+// each at the very moment from which the next loss can be borne, when several operators race meanwhile,
+// then all that they hear is what one register would say, and the core is whole in the end.
+func TestDrawnHistoriesOfMembers(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(13)
+	params.MinSuccessfulTests = 30
+	p := gopter.NewProperties(params)
+	p.Property("one register", prop.ForAll(func(seed uint64) string {
+		return memberships(Options{Zones: 3, Disks: 1 + int(seed%2), Others: 1, Survive: 1 + int(seed%2),
+			Seed: seed})
+	}, gen.UInt64()))
+	p.TestingRun(t)
+}
+
+// memberships draws a history of members, and returns what went wrong.
+func memberships(o Options) string {
+	x := New(o)
+	rng := rand.New(rand.NewPCG(o.Seed, 4))
+	x.StartAll()
+	if !x.Until(func() bool { return x.Spare() >= o.Survive }, 8*time.Second) {
+		return "no first start"
+	}
+	number := uint64(1)
+	var lost []*Machine // that come back
+	seen := x.Now       // from when on a loss has been noticed: what is said to be borne counts it
+	for range 10 {
+		for i := range 1 + rng.IntN(3) {
+			number += rng.Uint64N(2)
+			x.PutText(x.Machines[rng.IntN(len(x.Machines))], number, fmt.Sprintf("t%d", i%2))
+			x.Run(time.Duration(rng.IntN(30)) * time.Millisecond)
+		}
+		if rng.IntN(3) > 0 {
+			mend(x, lost)
+			lost = nil
+			if !x.Until(func() bool { return x.Now >= seen && x.Spare() >= o.Survive }, 12*time.Second) {
+				return fmt.Sprint("no end of a repair; chain ", x.Chain(), ", members ", x.Members())
+			}
+		}
+		if x.Now >= seen && x.Spare() >= o.Survive {
+			disks := x.Disked()
+			for range 1 + rng.IntN(o.Survive) {
+				m := disks[rng.IntN(len(disks))]
+				switch rng.IntN(4) {
+				case 0:
+					if slices.Contains(x.Machines, m) {
+						x.replaceDrawn(m, rng)
+					}
+				case 1:
+					if m.up {
+						m.office.Leave(x.Now)
+					}
+					x.Run(time.Duration(rng.IntN(600)) * time.Millisecond)
+					m.Kill()
+					lost = append(lost, m)
+				default:
+					if slices.Contains(x.Machines, m) {
+						lost = append(lost, m)
+						strike(x, m, rng)
+					}
+				}
+			}
+			seen = x.Now + time.Second
+			if rng.IntN(4) == 0 {
+				x.Add("z1").Start()
+			}
+		}
+		x.Run(time.Duration(rng.IntN(1500)) * time.Millisecond)
+		x.Read(x.Machines[rng.IntN(len(x.Machines))])
+		if rng.IntN(2) == 0 {
+			mend(x, lost)
+			lost = nil
+		}
+		if rng.IntN(6) == 0 {
+			mend(x, x.Disked())
+			x.restartAll()
+			lost = nil
+		}
+	}
+	mend(x, x.Disked())
+	if !x.Until(func() bool { return x.Spare() >= o.Survive }, 12*time.Second) {
+		return fmt.Sprint("no end of the last repair; chain ", x.Chain(), ", members ", x.Members())
+	}
+	x.Run(4 * time.Second)
+	c := x.Read(x.Machines[len(x.Machines)-1])
+	x.Run(2 * time.Second)
+	if wrong := x.consistent(); wrong != "" {
+		return wrong
+	}
+	if !c.Acked || !x.Settled(c.Version) {
+		return "not all go by the newest"
+	}
+	return ""
+}
+
+// replaceDrawn has another machine take the place of one that is gone, before or after that.
+func (x *Exchange) replaceDrawn(m *Machine, rng *rand.Rand) {
+	fresh := x.Replace(m)
+	x.at(time.Duration(rng.IntN(1200))*time.Millisecond, fresh.Start)
+}
+
+// Given a machine of the core that is told to stop while another one waits, then that takes its place
+// before the process has ended, however soon; where none waits, it stays a member until one does.
+func TestAMemberThatLeavesHandsOver(t *testing.T) {
+	s := given(t, 1)
+	spare := s.Add("z1")
+	spare.Start()
+	s.Run(2 * time.Second)
+	if slices.Contains(s.Members(), spare.self.Addr) {
+		t.Fatalf("a core that is whole has taken in another member: %v", s.Members())
+	}
+	head := s.Named("z1-1")
+	c := s.Put(s.Named("z3-2"), s.version+1)
+	head.office.Leave(s.Now)
+	s.then("the other has taken its place", 500*time.Millisecond, func() bool { return s.member(spare) })
+	s.then("it knows", 100*time.Millisecond, func() bool { return !head.record.Whole })
+	if s.Until(func() bool { return c.Ended }, time.Second); !c.Acked {
+		t.Error("a change in the midst of it is not acknowledged")
+	}
+	s.version++
+	head.Kill()
+	s.Named("z2-1").office.Leave(s.Now)
+	s.Run(time.Second)
+	if !slices.Contains(s.Members(), s.Named("z2-1").self.Addr) {
+		t.Errorf("one has left without a successor: %v", s.Members())
+	}
+	s.ends("after that")
+}
+
+// handedOver plays a change that is acknowledged while one of three is away, a member that is replaced
+// then, and the loss of the only other one that has the change: the successor has to have it. What is
+// seeded takes hold as the successor starts.
+func handedOver(t *testing.T, seed func(s *story, fresh *Machine)) (wrong string) {
+	t.Helper()
+	s := given(t, 1)
+	away, old, left := s.Named("z3-1"), s.Named("z1-1"), s.Named("z2-1")
+	away.Kill()
+	s.change(left) // old and left have it
+	s.Run(time.Second)
+	fresh := s.Add("z1")
+	seed(s, fresh)
+	fresh.Start()
+	old.office.Leave(s.Now)
+	s.Until(func() bool { return slices.Contains(s.Members(), fresh.self.Addr) }, 6*time.Second)
+	s.Run(100 * time.Millisecond)
+	for _, m := range s.Machines {
+		m.Kill()
+	}
+	s.Spoil, s.Tamper = nil, nil
+	for _, m := range s.Machines {
+		if m != old && m != left {
+			m.Start()
+		}
+	}
+	s.Run(4 * time.Second)
+	c := s.Read(fresh)
+	s.Run(time.Second)
+	if wrong := s.consistent(); wrong != "" || c.Acked {
+		return wrong
+	}
+	return "the newest can't be read"
+}
+
+// apart plays a core that has replaced a machine; that comes back beside one of the others, and the two are
+// cut off from the rest while operators are at both sides.
+func apart(t *testing.T, seed func(s *story, old, peer *Machine)) (wrong string) {
+	t.Helper()
+	s := given(t, 1)
+	old, peer := s.Named("z1-1"), s.Named("z2-1")
+	old.Kill()
+	fresh := s.Add("z1")
+	fresh.Start()
+	s.then("it is a member", 4*time.Second, func() bool { return s.member(fresh) })
+	s.borne(time.Second)
+	peer.Kill()
+	for _, m := range s.Machines {
+		s.Cut(old, m, m != peer)
+		s.Cut(peer, m, m != old)
+	}
+	seed(s, old, peer)
+	old.Start()
+	peer.Start()
+	s.Run(3 * time.Second)
+	for range 4 {
+		s.PutText(old, s.version+1, "of-the-old")
+		s.PutText(fresh, s.version+1, "of-the-new")
+		s.Run(time.Second)
+	}
+	s.HealAll()
+	s.Run(4 * time.Second)
+	return s.consistent()
+}
+
+// Given what must not be done as members change, when it is done, then it is told; and without it nothing is.
+func TestSeededDefectsOfMembersAreFound(t *testing.T) {
+	of := func(kind signal.Kind, to *Machine, do func(m *signal.Message)) func(*Machine, *signal.Message) {
+		return func(at *Machine, m *signal.Message) {
+			if at == to && m.Kind == kind {
+				do(m)
+			}
+		}
+	}
+	never := func(*story, *Machine) {}
+	if wrong := handedOver(t, never); wrong != "" {
+		t.Errorf("without a defect: %s", wrong)
+	}
+	if wrong := apart(t, func(*story, *Machine, *Machine) {}); wrong != "" {
+		t.Errorf("without a defect: %s", wrong)
+	}
+	for name, wrong := range map[string]string{
+		"a change agreed by the new members alone": handedOver(t, func(s *story, _ *Machine) {
+			s.Spoil = func(_ *Machine, r *frame.Record) { r.Former = nil }
+		}),
+		"a newcomer that votes before it is caught up": handedOver(t, func(s *story, fresh *Machine) {
+			s.Spoil = func(m *Machine, r *frame.Record) {
+				if m == fresh {
+					r.Content = frame.Content{}
+				}
+			}
+		}),
+		"a member that leaves before its successor has the state": handedOver(t,
+			func(s *story, fresh *Machine) {
+				s.Tamper = of(signal.Install, fresh, func(m *signal.Message) {
+					m.Version, m.Config, m.Past = 0, nil, nil
+				})
+			}),
+		"a removed member that votes under its old life": apart(t, func(_ *story, old, peer *Machine) {
+			// Its vote counts beside that of one which has forgotten the change.
+			peer.record.Registry, peer.record.Generation = old.record.Registry, old.record.Generation
+		}),
+		"a wiped disk that votes under its old life": func() string {
+			s := given(t, 1)
+			a, b, c := s.Named("z1-1"), s.Named("z2-1"), s.Named("z3-1")
+			c.Kill()
+			s.change(a) // a and b have it
+			a.Kill()
+			b.Kill()
+			was := b.record
+			b.Wipe()
+			b.record = frame.Record{Whole: true, ID: was.ID, Registry: was.Registry}
+			b.Start()
+			c.Start()
+			s.Run(4 * time.Second)
+			s.Read(b)
+			s.Run(time.Second)
+			return s.consistent()
+		}(),
+	} {
+		if wrong == "" {
+			t.Errorf("not found: %s", name)
+		}
+	}
+}
--- a/exchange/rehearsal/rehearsal_test.go
+++ b/exchange/rehearsal/rehearsal_test.go
@@ -316,8 +316,14 @@
 	}
 	left.Promised += 1 << 20
 	left.Epoch, left.Chain = left.Promised, nil
+	left.ID, left.Generation, left.Registry = 0, left.Epoch, slices.Clone(left.Registry)
+	for i := range left.Registry { // as vault.Found does: the document is the same for all
+		left.Registry[i].ID = left.Epoch
+	}
+	s.cores = newRegistries() // its registries are of another sequence
 	for _, m := range s.Disked() {
 		m.record = left
+		s.cores.held[identity{m.self.Addr, left.Epoch}] = left.Epoch
 	}
 	for _, m := range s.Machines {
 		m.Start()
--- a/exchange/signal/signal.go
+++ b/exchange/signal/signal.go
@@ -17,7 +17,7 @@
 	Ringing   Kind = iota + 1 // first on a connection: who is calling
 	Hello                     // a machine that starts asks a seed what it knows
 	Roll                      // and is told the machines with a disk, and the view
-	Found                     // at the first start: the machines of the core
+	_                         // was Found: at the first start, the machines of the core
 	Beat                      // between machines of the core: how I am
 	Prepare                   // a view is proposed: refuse all below its epoch
 	Promise                   // that is so
@@ -44,6 +44,13 @@
 	Conflict                  // another configuration stands under that number
 )
 
+// The kinds of what the core says of its members.
+const (
+	Learn   Kind = iota + 40 // what there is, to a machine that is to become a member
+	Learned                  // it is on its disk
+	Notice                   // who the members are, to one that did not ask
+)
+
 // Message is one message. Fields that a kind has no use for are left empty and take no bytes.
 type Message struct {
 	Kind     Kind      `pb:"1"`
@@ -70,13 +77,19 @@
 	Life     uint64    `pb:"40"` // of a question, and again of its answers: the life of the process that asked
 	To       string    `pb:"41"` // of Ringing: the address that was dialled; empty: the answer to that
 	Granted  uint64    `pb:"42"` // of Ask: the call whose grant was taken last; those since have been given up
+
+	Generation uint64    `pb:"30"` // of the registry: the epoch of the view that installed it
+	Former     []Machine `pb:"31"` // the registry before, until the change is known to be complete
+	ID         uint64    `pb:"32"` // of the sender's store
+	Joint      bool      `pb:"33"` // of Beat: a change of members is not known to be complete
+	Leaving    bool      `pb:"34"` // of Beat: the sender was told to stop
 }
 
 // Questions are the kinds that ask, each with the kinds that answer it. An answer says again the call or the
 // epoch of what it answers, and the life of the process that asked: a process that was started again counts
 // its calls from the beginning, and is not told what an earlier one wanted to know.
 var Questions = map[Kind][]Kind{
-	Hello:   {Roll, Found},
+	Hello:   {Roll},
 	Prepare: {Promise, Refuse},
 	Install: {Installed},
 	Put:     {Done, Conflict, Refuse},
@@ -122,6 +135,10 @@
 	Addr string `pb:"1"` // for the system's own processes
 	Zone string `pb:"2"`
 	Age  uint64 `pb:"3"` // milliseconds since its lease was renewed
+	// ID is that of its store, made with it: another disk at the address is another member.
+	ID uint64 `pb:"30"`
+	// Seat gives a member epochs of its own. No two in a registry and the one before it have the same.
+	Seat uint64 `pb:"31"`
 }
 
 // List is the list of servers, under the epoch of who read it and a number that rises within that.
--- a/exchange/vault/snapshot.go
+++ b/exchange/vault/snapshot.go
@@ -112,7 +112,10 @@
 		return trace.Wrap(err)
 	}
 	epoch := s.Epoch + epochsPassed
-	err = v.write(frame.Record{Whole: true, Registry: core, Promised: epoch, Epoch: epoch,
+	for i := range core { // the same on all of them, and of no store before
+		core[i].ID = epoch
+	}
+	err = v.write(frame.Record{Whole: true, Registry: core, Generation: epoch, Promised: epoch, Epoch: epoch,
 		Content: frame.Content{Version: s.Version, Config: []byte(s.Config)}})
 	return trace.NewAggregate(err, v.Close(closeWait))
 }
--- a/exchange/vault/vault.go
+++ b/exchange/vault/vault.go
@@ -39,6 +39,12 @@
 	Ballot   uint64           `pb:"8"`
 	Draft    []signal.Machine `pb:"9"`
 	Stamp    uint64           `pb:"10"` // epoch under which the configuration was accepted
+
+	ID         uint64           `pb:"30"` // of this store
+	Generation uint64           `pb:"31"`
+	Former     []signal.Machine `pb:"32"`
+	Sure       bool             `pb:"33"` // of a first start: all that was promised in it is here
+	Seeds      []string         `pb:"34"` // of it
 }
 
 type storedConfig struct {
@@ -117,7 +123,9 @@
 	v.written = frame.Content{Stamp: s.Stamp, Version: c.Version, Config: c.Config, Past: p.Past}
 	return frame.Record{Whole: s.Whole, Registry: s.Registry, Promised: s.Promised, Epoch: s.Epoch,
 		Chain: s.Chain, Content: v.written,
-		Founding: frame.Founding{Pledged: s.Pledged, Ballot: s.Ballot, Draft: s.Draft}}, nil
+		ID: s.ID, Generation: s.Generation, Former: s.Former,
+		Founding: frame.Founding{Sure: s.Sure, Seeds: s.Seeds, Pledged: s.Pledged, Ballot: s.Ballot,
+			Draft: s.Draft}}, nil
 }
 
 // Save writes a record and syncs it, and then calls then, on the vault's goroutine. It does not block, unless
@@ -134,8 +142,10 @@
 func (v *Vault) write(r frame.Record) error {
 	b := v.db.NewBatch()
 	defer b.Close()
-	s := stored{r.Whole, r.Registry, r.Promised, r.Epoch, r.Chain, r.Version, r.Founding.Pledged,
-		r.Founding.Ballot, r.Founding.Draft, r.Stamp}
+	s := stored{Whole: r.Whole, Registry: r.Registry, Promised: r.Promised, Epoch: r.Epoch, Chain: r.Chain,
+		Version: r.Version, Pledged: r.Founding.Pledged, Ballot: r.Founding.Ballot, Draft: r.Founding.Draft,
+		Stamp: r.Stamp, ID: r.ID, Generation: r.Generation, Former: r.Former, Sure: r.Founding.Sure,
+		Seeds: r.Founding.Seeds}
 	if err := b.Set(keyRecord, signal.Encode(nil, &s), nil); err != nil {
 		return trace.Wrap(err)
 	}
