Tell and change the members of the core by hand: tandem core show, add, remove, replace

Cause: staff could neither see who is a member beyond one machine's view, nor change it.

Change: two calls declared beside their handlers, core.show and core.change, answered by the head; what would leave no quorum, too few members to bear a loss, or names nobody is refused with the reason. An order that comes again is the same one. tandem view tells the generation and how many members may be lost now.

Measured: orders through a diskless machine, under changes, the head's own removal among them, are carried out or refused with their reason; the history stays that of one register.

--- a/cmd/tandem/main.go
+++ b/cmd/tandem/main.go
@@ -103,6 +103,12 @@
 	under(config, "read", "Print the newest configuration, as it was sent", &configRead{})
 	under(config, "diff", "Tell what a configuration would change of the newest", &configDiff{})
 	under(config, "put", "Check a configuration and send it", &configPut{})
+	members, _ := p.AddCommand("core", "the members of the core", "Tell and change the members of the core.",
+		&struct{}{})
+	under(members, "show", "Tell the members, and the machines that could become some", &coreShow{})
+	under(members, "add", "Make a machine a member", &coreAdd{})
+	under(members, "remove", "Remove a member for good", &coreRemove{})
+	under(members, "replace", "Put a machine in the place of a member", &coreReplace{})
 	store, _ := p.AddCommand("store", "a stopped machine's store", "Check and export the store of a stopped "+
 		"machine, and found a core anew.", &struct{}{})
 	under(store, "check", "Check the store of a stopped machine", &storeCheck{})
--- a/cmd/tandem/main_test.go
+++ b/cmd/tandem/main_test.go
@@ -50,6 +50,8 @@
 			"does not answer"},
 		{[]string{"view", "--at", "127.0.0.1:1"}, "does not answer"},
 		{[]string{"view"}, "at"},
+		{[]string{"core", "show", "--at", "127.0.0.1:1"}, "does not answer"},
+		{[]string{"core", "replace", "--at", "127.0.0.1:1", "10.1.0.13:7560"}, "NEW"},
 	} {
 		if _, err := parser().ParseArgs(c.args); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%q: %v, want %q", c.args, err, c.want)
--- a/exchange/desk/desk.go
+++ b/exchange/desk/desk.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,9 @@
 	// Nearer is the host of a machine of the core that answers and has a wider link than this one; empty: this
 	// machine is of the core itself, or knows none.
 	Nearer() string
+	// Reform has the core change its members: add one, remove one or both; or tell them where both addresses are
+	// empty. done is called once, with nil if there was no clear answer.
+	Reform(add, remove string, done func(*signal.Message))
 	// View tells how this machine sees the exchange; done is called once.
 	View(done func(View))
 }
@@ -58,6 +62,31 @@
 	Machines []string `json:"machines"` // of the core
 	Heard    []string `json:"heard"`    // of those, the ones that it hears now
 	Duties   []string `json:"duties"`   // that it does
+
+	Generation uint64 `json:"generation"` // of the members: the epoch of the view that installed them
+	Spare      int    `json:"spare"`      // members that may be lost now, as far as this machine knows
+}
+
+// Members are those of the core, as the head of the chain tells them.
+type Members struct {
+	Generation uint64   `json:"generation"`
+	Members    []Member `json:"members"`
+	Candidates []Member `json:"candidates"` // machines with a disk that are no members
+	Spare      uint64   `json:"spare"`      // members that may be lost now
+}
+
+// Member is one of the core, or would be.
+type Member struct {
+	Addr   string `json:"address"` // for the system's own processes
+	Zone   string `json:"zone"`
+	ID     string `json:"store"`  // another store at the address is another member
+	Serves bool   `json:"serves"` // it is in the chain
+}
+
+// Change is one of the members, by hand.
+type Change struct {
+	Add    string `json:"add"`    // address; empty: none
+	Remove string `json:"remove"` // address; empty: none
 }
 
 // Desk answers calls. It is an accept.Handler.
@@ -90,6 +119,8 @@
 	{http.MethodGet, "/api/rpc", "config.read", (*Desk).read},
 	{http.MethodGet, "/api/rpc", "exchange.view", (*Desk).view},
 	{http.MethodGet, "/api/rpc", "exchange.late", (*Desk).late},
+	{http.MethodGet, "/api/rpc", "core.show", (*Desk).members},
+	{http.MethodPost, "/api/rpc", "core.change", (*Desk).reform},
 }
 
 // Serve takes a call.
@@ -205,6 +236,44 @@
 	})
 }
 
+// members tells who the core is.
+func (d *Desk) members(_ *http1.Request, respond func(*http1.Answer)) {
+	d.Core.Reform("", "", func(m *signal.Message) { d.reformed(m, respond) })
+}
+
+// reform changes the members by hand.
+func (d *Desk) reform(r *http1.Request, respond func(*http1.Answer)) {
+	var c Change
+	if err := json.Unmarshal(r.Content, &c); err != nil || c.Add == "" && c.Remove == "" {
+		respond(http1.Plain(http.StatusBadRequest, `want {"add": ADDRESS, "remove": ADDRESS}, one or both`))
+		return
+	}
+	d.Core.Reform(c.Add, c.Remove, func(m *signal.Message) { d.reformed(m, respond) })
+}
+
+func (d *Desk) reformed(m *signal.Message, respond func(*http1.Answer)) {
+	switch {
+	case m == nil:
+		respond(unclear("no clear answer: look at core.show, and send it again", busyWait))
+		return
+	case !m.OK:
+		respond(http1.Plain(http.StatusConflict, m.Text))
+		return
+	}
+	v := Members{Generation: m.Generation, Spare: m.Spare}
+	row := func(x signal.Machine) Member {
+		return Member{Addr: x.Addr, Zone: x.Zone, ID: strconv.FormatUint(x.ID, 16),
+			Serves: slices.Contains(m.Chain, x.Addr)}
+	}
+	for _, x := range m.Registry {
+		v.Members = append(v.Members, row(x))
+	}
+	for _, x := range m.Members {
+		v.Candidates = append(v.Candidates, row(x))
+	}
+	respond(document(v))
+}
+
 // LateList is what this machine's requests ran late or were given up, the last ones first.
 type LateList struct {
 	Node  string           `json:"node"`
--- a/exchange/desk/desk_test.go
+++ b/exchange/desk/desk_test.go
@@ -38,6 +38,16 @@
 func (c *core) Read(done func(uint64, []byte)) { done(c.held, c.config) }
 func (c *core) Nearer() string                 { return c.nearer }
 func (c *core) View(done func(View))           { done(View{Node: "n-1", Version: "r7"}) }
+func (c *core) Reform(add, _ string, done func(*signal.Message)) {
+	switch {
+	case c.silent:
+		done(nil)
+	case add == "x:1":
+		done(&signal.Message{Kind: signal.Reformed, Text: "no quorum would be left"})
+	default:
+		done(&signal.Message{Kind: signal.Reformed, OK: true, Registry: []signal.Machine{{Addr: "y:1", ID: 10}}})
+	}
+}
 
 // Given a desk, when calls come in, then each gets its answer, and only what is valid and new is passed on.
 func TestCallsAndTheirAnswers(t *testing.T) {
@@ -77,6 +87,14 @@
 			core{config: long, nearer: "10.0.0.4"}, 307, "sooner", "Location", 0},
 		{"the view", "GET", "/api/rpc?call=exchange.view", nil, core{}, 200, `"node":"n-1"`, "", 0},
 		{"late requests", "GET", "/api/rpc?call=exchange.late", nil, core{}, 200, `"id":"id-9"`, "", 0},
+		{"who the core is", "GET", "/api/rpc?call=core.show", nil, core{}, 200, `"store":"a"`, "", 0},
+		{"who the core is, without an answer", "GET", "/api/rpc?call=core.show", nil, core{silent: true}, 503,
+			"no clear answer", "Retry-After", 0},
+		{"a change of members", "POST", "/api/rpc?call=core.change", []byte(`{"add":"y:1"}`), core{}, 200,
+			`"address":"y:1"`, "", 0},
+		{"one that leaves no quorum", "POST", "/api/rpc?call=core.change", []byte(`{"add":"x:1"}`), core{}, 409,
+			"no quorum", "", 0},
+		{"one of nothing", "POST", "/api/rpc?call=core.change", []byte(`{}`), core{}, 400, "ADDRESS", "", 0},
 		{"whether it is ready", "GET", "/api/ready", nil, core{}, 503, "not ready", "", 0},
 		{"another method", "PUT", "/api/rpc?call=config.read", nil, core{}, 405, "method", "", 0},
 		{"another call", "POST", "/api/rpc?call=config.burn", nil, core{}, 404, "no such call", "", 0},
--- a/exchange/extension/extension.go
+++ b/exchange/extension/extension.go
@@ -270,7 +270,7 @@
 		if from == e.at && m.Call == e.call && e.askAt == 0 {
 			e.news(m)
 		}
-	case signal.Done, signal.Conflict, signal.Copy:
+	case signal.Done, signal.Conflict, signal.Copy, signal.Reformed:
 		if c := e.calls[m.Call]; c != nil && slices.Contains(signal.Questions[c.m.Kind], m.Kind) {
 			delete(e.calls, m.Call)
 			c.done(m)
@@ -325,6 +325,12 @@
 	e.begin(now, signal.Message{Kind: signal.Put, Version: version, Config: signal.Pack(config, 0, nil)}, done)
 }
 
+// Reform has the core change its members, or tell them. done gets the answer, or nil when there was none in
+// time.
+func (e *Extension) Reform(now time.Duration, add, remove string, done func(*signal.Message)) {
+	e.begin(now, signal.Message{Kind: signal.Reform, Add: add, Remove: remove}, done)
+}
+
 // Read asks the core for the newest configuration. done gets it, or nil when there was no clear answer.
 func (e *Extension) Read(now time.Duration, done func(version uint64, config []byte)) {
 	have, text := e.version, e.config
--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -107,6 +107,7 @@
 
 	candidates map[string]*candidate // machines with a disk that would be members
 	leaving    bool                  // this process was told to stop
+	order      *order                // by hand
 	retired    uint64                // how often this life has given up its membership
 	spare      int                   // losses that could be borne when last looked
 
@@ -306,6 +307,8 @@
 	switch m.Kind {
 	case signal.Roll, signal.Notice:
 		f.told(m)
+	case signal.Reform:
+		f.reform(from, m)
 	case signal.Learn:
 		f.learn(from, m)
 	case signal.Learned:
--- a/exchange/frame/members.go
+++ b/exchange/frame/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -15,7 +16,8 @@
 	// lostAfter is for where the settings name no sync_s, half of which it is: a successor has to be a member
 	// within sync_s of its start, and a process that is started again is back within a second.
 	lostAfter  = 2 * time.Second
-	learnEvery = time.Second // to a candidate that has not answered: a configuration may be long
+	learnEvery = time.Second     // to a candidate that has not answered: a configuration may be long
+	orderWait  = 5 * time.Second // for an order by hand to become a view
 	mostSeats  = epochStep - 1
 )
 
@@ -267,6 +269,14 @@
 			return f.replaced(c.Addr, c.Machine)
 		}
 	}
+	if f.order != nil {
+		if f.now > f.order.came+orderWait { // it may be sent again
+			f.order = nil
+			return nil
+		}
+		next, _ := f.ordered(f.order.add, f.order.remove)
+		return next
+	}
 	if len(ready) == 0 {
 		return nil
 	}
@@ -324,6 +334,110 @@
 	return list
 }
 
+// order is a change of members by hand.
+type order struct {
+	from        string
+	life, call  uint64
+	add, remove string
+	came        time.Duration
+}
+
+// reform takes an order by hand at the head, or tells the members where nothing is to be changed. An order
+// that comes again is the same one, and is answered when it is done.
+func (f *Frame) reform(from string, m *signal.Message) {
+	if f.place() != 0 || !f.Fresh() {
+		f.sendOn(from, m)
+		return
+	}
+	o := order{from, m.Life, m.Call, m.Add, m.Remove, f.now}
+	if m.Add == "" && m.Remove == "" || len(f.next.Former) == 0 && f.isSo(m.Add, m.Remove) {
+		f.reformed(&o, "")
+		return
+	}
+	if f.order != nil {
+		if f.order.add != m.Add || f.order.remove != m.Remove {
+			f.reformed(&o, "another change by hand is under way: try again")
+			return
+		}
+		f.order.from, f.order.life, f.order.call = from, m.Life, m.Call // who asked last waits for it
+		return
+	}
+	if _, why := f.ordered(m.Add, m.Remove); why != "" {
+		f.reformed(&o, why)
+		return
+	}
+	f.order = &o
+	f.consider()
+}
+
+// reformed answers an order: it is done, or why it is not.
+func (f *Frame) reformed(o *order, why string) {
+	m := &signal.Message{Kind: signal.Reformed, Life: o.life, Call: o.call, OK: why == "", Text: why,
+		Registry: f.rec.Registry, Generation: f.rec.Generation, Chain: f.chain, Spare: uint64(f.Spare())}
+	for _, c := range f.candidates {
+		if f.now <= c.heard+deadAfter && !has(f.rec.Registry, c.Machine) {
+			m.Members = append(m.Members, c.Machine)
+		}
+	}
+	slices.SortFunc(m.Members, byAddr)
+	f.Actions.Send(o.from, m)
+}
+
+// isSo reports whether an order is carried out.
+func (f *Frame) isSo(add, remove string) bool {
+	return (add == "" || at(f.rec.Registry, add)) && (remove == "" || !at(f.rec.Registry, remove))
+}
+
+// answerOrder answers an order that is carried out.
+func (f *Frame) answerOrder() {
+	if o := f.order; o != nil && f.isSo(o.add, o.remove) {
+		f.order = nil
+		f.reformed(o, "")
+	}
+}
+
+// ordered is the registry that an order asks for, or why there is none.
+func (f *Frame) ordered(add, remove string) (next []signal.Machine, why string) {
+	var fresh signal.Machine
+	if add != "" {
+		c := f.candidates[add]
+		switch {
+		case at(f.rec.Registry, add):
+			return nil, add + " is a member already"
+		case c == nil || f.now > c.heard+deadAfter:
+			return nil, "no machine with a disk says that it is there at " + add
+		case !c.ready:
+			return nil, add + " has not caught up yet: try again"
+		}
+		fresh = c.Machine
+	}
+	if remove != "" && !at(f.rec.Registry, remove) {
+		return nil, "no member is at " + remove
+	}
+	if next = f.rec.Registry; add != "" {
+		if next = f.replaced(remove, fresh); next == nil {
+			return nil, "there is no place for more members"
+		}
+	} else {
+		next = slices.DeleteFunc(slices.Clone(next), func(m signal.Machine) bool { return m.Addr == remove })
+	}
+	votes := 0
+	for _, m := range next {
+		if m.Addr == add || f.votes(m.Addr) {
+			votes++
+		}
+	}
+	switch {
+	case len(next) <= f.Survive:
+		return nil, fmt.Sprintf("%d members would be left: the loss of %d could not be borne", len(next),
+			f.Survive)
+	case votes < majority(next):
+		return nil, fmt.Sprintf("no quorum would be left: of the %d members, %d are heard and have a vote, and %d "+
+			"have to", len(next), votes, majority(next))
+	}
+	return next, ""
+}
+
 // Leave notes that this process was told to stop: another machine may take its place, and until it has,
 // this one stays a member.
 func (f *Frame) Leave(now time.Duration) {
--- a/exchange/frame/view.go
+++ b/exchange/frame/view.go
@@ -396,6 +396,7 @@
 	if len(f.next.Former) == 0 || f.next.Generation != epoch {
 		return
 	}
+	f.answerOrder()
 	if !has(f.next.Registry, f.me()) {
 		f.retire(f.next.Generation)
 		return
--- a/exchange/office/office.go
+++ b/exchange/office/office.go
@@ -136,7 +136,7 @@
 		if f.founder != nil {
 			f.founder.Handle(now, from, m)
 		}
-	case signal.News, signal.Copy, signal.Conflict:
+	case signal.News, signal.Copy, signal.Conflict, signal.Reformed:
 		f.ext.Handle(now, from, m)
 	case signal.Roll, signal.Notice:
 		f.ext.Handle(now, from, m)
@@ -263,9 +263,10 @@
 		if f.frame.State() == frame.InService && now >= f.rollAt {
 			f.rollAt = now + rollEvery
 			for _, s := range f.ext.Seeds {
-				if s != f.o.Self.Addr {
-					m := f.roll()
-					m.Kind = signal.Notice
+				m := f.roll()
+				if m.Kind = signal.Notice; !slices.ContainsFunc(m.Registry, func(r signal.Machine) bool {
+					return r.Addr == s
+				}) {
 					f.o.Actions.Send(s, m)
 				}
 			}
@@ -289,6 +290,12 @@
 	f.ext.Put(now, version, config, done)
 }
 
+// Reform has the core change its members by hand, or tell them where both addresses are empty. done gets the
+// answer, or nil when there was none in time.
+func (f *Office) Reform(now time.Duration, add, remove string, done func(*signal.Message)) {
+	f.ext.Reform(now, add, remove, done)
+}
+
 // Read asks the core for the newest configuration. done gets nil when there was no clear answer.
 func (f *Office) Read(now time.Duration, done func(version uint64, config []byte)) {
 	f.ext.Read(now, done)
--- a/exchange/plant/plant.go
+++ b/exchange/plant/plant.go
@@ -369,6 +369,11 @@
 	p.loop.do(func() { p.office.Read(p.now(), done) })
 }
 
+// Reform has the core change its members, or tell them.
+func (p *Plant) Reform(add, remove string, done func(*signal.Message)) {
+	p.loop.do(func() { p.office.Reform(p.now(), add, remove, done) })
+}
+
 // Nearer is the host of the machine of the core that this one asks for news, if that is another.
 func (p *Plant) Nearer() string {
 	if at := p.asks.Load(); at != nil && p.vault == nil {
@@ -387,7 +392,7 @@
 		}
 		if f := p.office.Frame(); f != nil {
 			c := &desk.CoreView{State: f.State().String(), Serves: f.Fresh(), Whole: f.Record().Whole, Sick: f.Sick(),
-				Version: f.Record().Version, Heard: f.Heard()}
+				Version: f.Record().Version, Heard: f.Heard(), Generation: f.Record().Generation, Spare: f.Spare()}
 			for _, m := range f.Record().Registry {
 				c.Machines = append(c.Machines, m.Addr)
 			}
--- a/exchange/rehearsal/calls_test.go
+++ b/exchange/rehearsal/calls_test.go
@@ -146,6 +146,14 @@
 		c = t.Read(t.m)
 		return t.play(func() bool { return c.Acked }, l)
 	}},
+	{"Reformed", []signal.Kind{signal.Reformed}, life, func(t *tape, l lie) bool {
+		t.Reform(t.m, "", "")
+		t.Run(time.Second)
+		t.cut = true
+		t.anew()
+		o := t.Reform(t.m, "", "")
+		return t.play(func() bool { return o.Answer != nil }, l)
+	}},
 	{"Refuse", []signal.Kind{signal.Refuse}, life, func(t *tape, l lie) bool {
 		t.hold = []signal.Kind{signal.News} // it doesn't know the head
 		t.Put(t.m, t.version+3)
--- a/exchange/rehearsal/members.go
+++ b/exchange/rehearsal/members.go
@@ -97,6 +97,21 @@
 	return m
 }
 
+// Order is a change of members by hand.
+type Order struct {
+	Ended  bool
+	Answer *signal.Message // nil: there was none in time
+}
+
+// Reform has a machine pass on a change of members by hand; without addresses it asks who they are.
+func (x *Exchange) Reform(m *Machine, add, remove string) *Order {
+	o := &Order{}
+	m.act(m.life, func() {
+		m.office.Reform(x.Now, add, remove, func(answer *signal.Message) { o.Ended, o.Answer = true, answer })
+	})
+	return o
+}
+
 // Members returns the addresses of the members by the newest generation that is complete on some disk.
 func (x *Exchange) Members() (list []string) {
 	newest := uint64(0)
--- a/exchange/rehearsal/members_test.go
+++ b/exchange/rehearsal/members_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -297,6 +298,89 @@
 	s.ends("after that")
 }
 
+// by has an order by hand carried out or refused, as staff do: one without a clear answer is sent again.
+func (s *story) by(m *Machine, add, remove string) (ok bool, why string) {
+	s.t.Helper()
+	for range 6 {
+		o := s.Reform(m, add, remove)
+		if s.Until(func() bool { return o.Ended }, time.Second); o.Answer != nil {
+			s.Run(50 * time.Millisecond) // that it is complete is on the disks, too
+			return o.Answer.OK, o.Answer.Text
+		}
+	}
+	s.t.Fatalf("add %q, remove %q: no answer", add, remove)
+	return false, ""
+}
+
+// Given a core, when staff add, remove and replace members by hand, through any machine, under changes,
+// then it is done, also where the head itself is removed; and it is refused, with the reason, where it
+// would leave no quorum or nobody is there.
+func TestMembersChangeByHand(t *testing.T) {
+	s := given(t, 1)
+	a, b, spare, other := s.Named("z1-1"), s.Named("z2-1"), s.Add("z1"), s.Add("z2")
+	spare.Start()
+	other.Start()
+	s.Run(time.Second)
+	at := s.Named("z3-2")
+	for _, c := range []struct {
+		add, remove *Machine
+		why         string
+		members     int
+	}{
+		{add: s.Named("z1-2"), why: "no machine with a disk", members: 3},
+		{remove: spare, members: 3}, // it is none: that is so
+		{add: spare, members: 4},
+		{add: spare, members: 4}, // sent again
+		{add: other, remove: a, members: 4},
+		{remove: s.Named("z3-1"), members: 3},
+		{remove: b, members: 2},
+		{remove: spare, why: "could not be borne", members: 2},
+	} {
+		if c.remove == b {
+			b.Kill() // it would come back as a newcomer, and the core is small
+		}
+		addr := func(m *Machine) string {
+			if m == nil {
+				return ""
+			}
+			return m.self.Addr
+		}
+		if c.remove == s.Named("z3-1") || c.remove == b {
+			for _, m := range []*Machine{a, s.Named("z3-1")} {
+				m.Kill()
+			}
+			s.Run(time.Second)
+		}
+		put := s.Put(at, s.version+1)
+		ok, why := s.by(at, addr(c.add), addr(c.remove))
+		if ok != (c.why == "") || !strings.Contains(why, c.why) || len(s.Members()) != c.members {
+			t.Fatalf("add %q, remove %q: %v %q, members %v", addr(c.add), addr(c.remove), ok, why, s.Members())
+		}
+		if s.Until(func() bool { return put.Ended }, time.Second); put.Acked {
+			s.version++
+		}
+	}
+	if wrong := s.consistent(); wrong != "" {
+		t.Error(wrong)
+	}
+}
+
+// Given a core in which one of three is lost, when staff would remove one of the two others, then that is
+// refused for want of a quorum; and removing the one that is lost is not.
+func TestAChangeByHandLeavesAQuorum(t *testing.T) {
+	s := given(t, 1)
+	s.Named("z3-1").Kill()
+	s.Run(2 * time.Second)
+	at := s.Named("z1-2")
+	if ok, why := s.by(at, "", s.Named("z2-1").self.Addr); ok || !strings.Contains(why, "no quorum") {
+		t.Errorf("one of the two that are left: %v %q", ok, why)
+	}
+	if ok, why := s.by(at, "", s.Named("z3-1").self.Addr); !ok {
+		t.Errorf("the lost one: %q", why)
+	}
+	s.ends("after that")
+}
+
 // handedOver plays a change that is acknowledged while one of three is away, a member that is replaced
 // then, and the loss of the only other one that has the change: the successor has to have it. What is
 // seeded takes hold as the successor starts.
--- a/exchange/signal/signal.go
+++ b/exchange/signal/signal.go
@@ -46,9 +46,11 @@
 
 // The kinds of what the core says of its members.
 const (
-	Learn   Kind = iota + 40 // what there is, to a machine that is to become a member
-	Learned                  // it is on its disk
-	Notice                   // who the members are, to one that did not ask
+	Learn    Kind = iota + 40 // what there is, to a machine that is to become a member
+	Learned                   // it is on its disk
+	Notice                    // who the members are, to one that did not ask
+	Reform                    // an order by hand: change the members, or tell them
+	Reformed                  // that is done, or why not
 )
 
 // Message is one message. Fields that a kind has no use for are left empty and take no bytes.
@@ -83,6 +85,10 @@
 	ID         uint64    `pb:"32"` // of the sender's store
 	Joint      bool      `pb:"33"` // of Beat: a change of members is not known to be complete
 	Leaving    bool      `pb:"34"` // of Beat: the sender was told to stop
+	Add        string    `pb:"35"` // of Reform: the address of who is to be a member
+	Remove     string    `pb:"36"` // of Reform: and of who no longer
+	Text       string    `pb:"37"` // of Reformed: why not
+	Spare      uint64    `pb:"38"` // of Reformed: how many members may be lost now
 }
 
 // Questions are the kinds that ask, each with the kinds that answer it. An answer says again the call or the
@@ -99,6 +105,7 @@
 	Ask:     {Grant},
 	Pledge:  {Pledged},
 	Draft:   {Drafted},
+	Reform:  {Reformed, Refuse},
 }
 
 // answers are all that answer something.
