Keep a server's connection only once the request on it has gone out whole

Cause: an answer that came before the end of its request put its connection to rest as soon as the client had sent the body, though the body might still be on its way to the server. The next request was then written into the midst of it, from the same buffer: its bytes could be taken for the body of the first. Change: a connection rests only once nobody writes to it any more; else it ends as answered-early.

--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -506,7 +506,7 @@
 	if err == nil && msg != nil {
 		r, err = c.parser.Response(msg)
 	}
-	beyond := c.frames.Buffered() > 0
+	beyond, early := c.frames.Buffered() > 0, c.writing
 	c.mu.Unlock()
 	switch {
 	case err != nil:
@@ -526,6 +526,10 @@
 		c.finish(result, "unasked-bytes")
 		return false
 	}
+	if early { // the rest of the request would be taken for the next
+		c.finish(result, "answered-early")
+		return false
+	}
 	if r.Close || readErr != nil || !r.ProtoAtLeast(1, 1) {
 		c.finish(result, "server-closed")
 		return false
--- a/internal/net/forward/hold.go
+++ b/internal/net/forward/hold.go
@@ -97,7 +97,7 @@
 		code = "unasked-bytes"
 	case closed || r.Close || !r.ProtoAtLeast(1, 1):
 		code = "server-closed"
-	case !x.stream.up.Ended(): // the rest of the body would be taken for the next request
+	case !x.stream.sent.Load(): // the rest of the body would be taken for the next request
 		code = "answered-early"
 	}
 	if code != "" {
--- a/internal/net/forward/stream.go
+++ b/internal/net/forward/stream.go
@@ -37,6 +37,7 @@
 	side   *transfer.Side
 	gone   int64        // bytes of a body that did not go with the head
 	part   atomic.Bool  // such a body has not gone to its last byte
+	sent   atomic.Bool  // all of the request has gone, and nobody writes to the connection any more
 	due    atomic.Int64 // Unix time in ns by which the answer's head has to come; 0: the core sees to it
 
 	mu       sync.Mutex
@@ -159,7 +160,11 @@
 
 // attach lets the body flow once the head is written.
 func (x *exchange) attach(c *conn) {
-	if x.stream == nil || !x.stream.long {
+	if x.stream == nil {
+		return
+	}
+	if !x.stream.long {
+		x.stream.sent.Store(true)
 		return
 	}
 	x.stream.side = transfer.NewSide(c.nc, x.stream.terms.ServerUp)
@@ -203,6 +208,7 @@
 	}
 	s.side.Conn.SetWriteDeadline(time.Time{}) // for the requests that come after
 	s.expect(s.terms.Head)
+	s.sent.Store(true)
 	return nil
 }
 
@@ -323,7 +329,7 @@
 		to.Cut()
 		return false
 	}
-	if r.Close || !r.ProtoAtLeast(1, 1) || code != "" || !x.stream.up.Ended() || c.pieces.Buffered() > 0 {
+	if r.Close || !r.ProtoAtLeast(1, 1) || code != "" || !x.stream.sent.Load() || c.pieces.Buffered() > 0 {
 		switch {
 		case c.pieces.Buffered() > 0:
 			code = "unasked-bytes"
@@ -383,7 +389,7 @@
 		taken := window.Take()
 		into, plain := taken, c.pieces.Plain(len(taken))
 		from := side
-		if !x.stream.up.Ended() { // it may wait for the rest of the request
+		if !x.stream.sent.Load() { // it may wait for the rest of the request
 			from = free
 		}
 		if plain > 0 { // and not what comes behind the body
