Tell whether a given-up request ran once its connection is closed; spare others' ones

Cause: Abort looked whether the last byte had left before it closed the connection, so that a body's writer could still send it: the server ran what was reported as never run, and could be sent again. And it closed the connection that the attempt had gone by, though an answer that came in that moment may have freed it for another attempt, which then waited for its whole time. Change: the connection is closed first, under the attempt's own name, and whoever finds it being closed waits.

--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -165,10 +165,20 @@
 		if x.write(c) {
 			return
 		}
+		if x.givenUp() { // before a byte has left
+			x.over(core.Result{Code: choice.Refused})
+			return
+		}
 	}
 	x.dial()
 }
 
+func (x *exchange) givenUp() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.aborted
+}
+
 // on notes which connection the attempt goes by. If it was aborted meanwhile, it ends here with it.
 func (x *exchange) on(c *conn) bool {
 	x.mu.Lock()
@@ -240,22 +250,27 @@
 	f.mu.Unlock()
 }
 
-// Abort closes the attempt's connection.
+// Abort closes the attempt's connection, if the attempt is still on it. Whether it may have run is told by what
+// had left when the connection was closed: until then, its last byte could still go.
 func (x *exchange) Abort() (mayHaveRun bool) {
 	x.mu.Lock()
 	x.aborted = true
-	mayHaveRun = x.written
 	c, cancel := x.conn, x.cancel
 	x.mu.Unlock()
 	if x.stream != nil {
-		mayHaveRun = (mayHaveRun || x.stream.lost()) && !x.stream.unsent()
 		x.stream.detach()
 	}
 	if cancel != nil {
 		cancel()
 	}
 	if c != nil {
-		c.end("attempt-given-up")
+		c.endWith(x, "attempt-given-up")
+	}
+	x.mu.Lock()
+	mayHaveRun = x.written
+	x.mu.Unlock()
+	if x.stream != nil {
+		mayHaveRun = (mayHaveRun || x.stream.lost()) && !x.stream.unsent()
 	}
 	return mayHaveRun
 }
@@ -340,9 +355,11 @@
 	}
 	c.mu.Unlock()
 	if stop {
+		code := "attempt-given-up"
 		if spoilt {
-			c.end("unasked-bytes")
+			code = "unasked-bytes"
 		}
+		c.end(code)
 		return false
 	}
 	n, err := c.nc.Write(msg)
@@ -388,6 +405,7 @@
 	writing bool      // the request is on its way out
 	broke   error     // what the reader met meanwhile
 	ended   bool
+	shut    sync.Once
 	foreign bool // an answer has come that is not the request's. The reader's
 	count   int
 }
@@ -577,15 +595,22 @@
 }
 
 // end closes the connection and leaves its log line.
-func (c *conn) end(code string) {
+func (c *conn) end(code string) { c.endWith(nil, code) }
+
+// endWith does so if the connection carries that attempt; nil: whatever it carries. Guards another attempt,
+// to which the connection may have gone over. Once it returns, no byte leaves by a connection that was ended.
+func (c *conn) endWith(x *exchange, code string) {
 	c.mu.Lock()
-	ended := c.ended
-	c.ended = true
+	ended, others := c.ended, x != nil && c.x != x
+	c.ended = ended || !others
 	c.mu.Unlock()
+	if !ended && others {
+		return
+	}
+	c.shut.Do(func() { c.nc.Close() })
 	if ended {
 		return
 	}
-	c.nc.Close()
 	<-c.f.slots
 	c.f.Log.Info().Str("side", "server").Str("code", code).Str("server", c.at.server).Int("requests", c.count).
 		Dur("age", time.Since(c.since)).Msg("connection ended")
--- a/internal/net/forward/forward_test.go
+++ b/internal/net/forward/forward_test.go
@@ -64,3 +64,35 @@
 		}
 	}
 }
+
+// racing is a connection by which the last byte of a request leaves just before it is closed.
+type racing struct {
+	net.Conn
+	last func()
+}
+
+func (r racing) Close() error {
+	r.last()
+	return r.Conn.Close()
+}
+
+// Given an attempt that is given up, when its last byte still gets away, then it may have run; and when its
+// connection carries another attempt meanwhile, that goes on.
+func TestGivenUpAtTheLastMoment(t *testing.T) {
+	near, _ := net.Pipe()
+	f := New(Config{})
+	f.slots <- struct{}{}
+	c := &conn{f: f, at: placeOf(core.Server{})}
+	x := &exchange{f: f, conn: c, written: true}
+	x.stream = &streaming{x: x, up: transfer.Coming(10, nil, 0), terms: &transfer.Terms{Whole: true}}
+	x.stream.part.Store(true)
+	c.x, c.nc = x, racing{near, func() { x.stream.part.Store(false) }}
+	if !x.Abort() {
+		t.Error("its last byte has left, and it is said not to have run")
+	}
+	f.slots <- struct{}{}
+	other := &conn{f: f, nc: near, x: &exchange{}}
+	if x.conn = other; !x.Abort() || other.ended {
+		t.Errorf("ended another's connection: %v", other.ended)
+	}
+}
--- a/internal/net/forward/stream.go
+++ b/internal/net/forward/stream.go
@@ -56,7 +56,7 @@
 	s.x.mu.Lock()
 	c := s.x.conn
 	s.x.mu.Unlock()
-	s.reply = transfer.NewReply(func() { c.end("client-gone") })
+	s.reply = transfer.NewReply(func() { c.endWith(s.x, "client-gone") })
 	s.x.End(core.Result{Code: choice.OK, Body: s.reply, Drop: s.reply.Drop})
 }
 
@@ -306,7 +306,7 @@
 	c.nc.SetReadDeadline(time.Time{})
 	early := reply != nil
 	if !early {
-		reply = transfer.NewReply(func() { c.end("client-gone") })
+		reply = transfer.NewReply(func() { c.endWith(x, "client-gone") })
 	}
 	reply.Response, reply.Length = r, c.pieces.Length()
 	if reply.Length >= 0 {
