Say that a request never ran only while no byte of it has left

Cause: a request whose head, or whose long body, had left in part when the connection broke counted as never run, so that a writing one was sent again, or its client told 503. Change: only what broke before its first byte counts as never run. That servers begin at the last byte stays a term of the older platform (Terms.Whole); that the core waits for an answer's head is one of its own (Terms.Awaited).

--- a/exchange/line/message.go
+++ b/exchange/line/message.go
@@ -74,14 +74,15 @@
 	return c
 }
 
-// terms are what every exchange is held to. Servers begin once a request is whole. What one is still giving
-// is not cut off: only one that stands still for long is given up.
+// terms are what every exchange is held to. What a server is still giving is not cut off: only one that stands
+// still for long is given up. Only Not-Run says that a request has not run: of one that has left in part, too,
+// nothing is promised.
 var terms = transfer.Terms{
 	ClientUp:   flow.Pace{Least: 32 << 10, Grace: 3 * time.Second},
 	ClientDown: flow.Pace{Least: 32 << 10, Grace: 5 * time.Second},
 	ServerUp:   flow.Pace{Stall: 5 * time.Second},
 	ServerDown: flow.Pace{Stall: 10 * time.Second},
-	Whole:      true,
+	Awaited:    true,
 }
 
 // Names of the protocol's headers, as package http writes them.
--- a/front/platform/message.go
+++ b/front/platform/message.go
@@ -29,6 +29,7 @@
 	ServerUp:   flow.Pace{Stall: 5 * time.Second},
 	ServerDown: flow.Pace{Stall: 10 * time.Second},
 	Whole:      true,
+	Awaited:    true,
 }
 
 // longest is the most that clients send.
--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -331,12 +331,12 @@
 	c.read()
 }
 
-// write hands the request to a connection. What breaks before the last byte is written has never run. It
-// reports false if it wrote nothing and did not end the attempt: the connection has ended or is spoilt.
+// write hands the request to a connection. What breaks before a byte is written has never run, and is said of
+// nothing else. It reports false if it wrote nothing and did not end the attempt: the connection has ended or
+// is spoilt.
 func (x *exchange) write(c *conn) bool {
 	c.mu.Lock()
 	msg := x.Payload.(Message).Append(c.out[:0], x.Server, x.Timeout)
-	head := len(msg)
 	if x.stream != nil {
 		msg = x.stream.begin(msg)
 	}
@@ -373,7 +373,7 @@
 		x.attach(c)
 		return true
 	}
-	if n < head || x.stream == nil && n < len(msg) {
+	if n == 0 {
 		x.mu.Lock()
 		x.written = false
 		x.mu.Unlock()
--- a/internal/net/forward/stream.go
+++ b/internal/net/forward/stream.go
@@ -50,7 +50,7 @@
 func (s *streaming) Last() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.answered || s.terms.Whole {
+	if s.answered || s.terms.Awaited {
 		return
 	}
 	s.x.mu.Lock()
--- a/internal/net/transfer/side.go
+++ b/internal/net/transfer/side.go
@@ -16,9 +16,10 @@
 	ClientUp, ClientDown flow.Pace
 	ServerUp, ServerDown flow.Pace
 	Head                 time.Duration // for the answer's head, after a long request has gone; 0: any
-	// Whole says that servers begin on a request once it is whole: one that was not sent whole has not run,
-	// and the core's part lasts until an answer's head has come.
+	// Whole says that servers begin on a request once it is whole: one that was not sent whole has not run.
 	Whole bool
+	// Awaited says that the core's part lasts until an answer's head has come.
+	Awaited bool
 }
 
 // Side is one side's connection in one direction, held to a pace. It is not safe for concurrent use.
