Judge answers by how they came: promises of the server's own, no id, no known end

Cause: a server's 429 or 408 without Not-Run went on to the client, to whom it promises that the request has not run. A 421 or Not-Run without an id was taken for the awaited answer also on a connection where it may have come late for another request: the request was then sent again beside the one at work. A 4xx that only the end of the connection ends looked whole to the client however much was cut off. Change: such statuses count as failures that may have run; an answer without an id counts only where nothing was asked before; one without a known end never does. The test's table has these cases beside all that it had; Judge gets an Arrival instead of a bool.

--- a/exchange/line/message.go
+++ b/exchange/line/message.go
@@ -74,9 +74,9 @@
 	return c
 }
 
-// terms are what every exchange is held to. What a server is still giving is not cut off: only one that stands
-// still for long is given up. Only Not-Run says that a request has not run: of one that has left in part, too,
-// nothing is promised.
+// terms are what every exchange is held to. What a server is still giving is not cut off: only one that
+// stands still for long is given up. Only Not-Run says that a request has not run: of one that has left in
+// part nothing is promised, too.
 var terms = transfer.Terms{
 	ClientUp:   flow.Pace{Least: 32 << 10, Grace: 3 * time.Second},
 	ClientDown: flow.Pace{Least: 32 << 10, Grace: 5 * time.Second},
@@ -143,13 +143,13 @@
 
 // Judge says what a whole answer is to this request. Only one that bears the request's id, and if it tells of
 // success the server's seal, is the server's word on it.
-func (m *message) Judge(r *http1.Response, closed bool) (core.Result, forward.Fit) {
+func (m *message) Judge(r *http1.Response, a forward.Arrival) (core.Result, forward.Fit) {
 	id := r.Header.Get(hID)
 	if id != "" && id != m.id {
 		m.f.Log(events.AnswerBad, "status", r.StatusCode)
 		return core.Result{Code: choice.Reset}, forward.Foreign
 	}
-	result, fit := m.verdict(r.Response, id, closed)
+	result, fit := m.verdict(r.Response, id, a)
 	if result.Code == choice.OK {
 		result.Body = &http1.Answer{Status: r.StatusCode, Header: lines(r.Header), Body: r.Content}
 	}
@@ -157,21 +157,28 @@
 }
 
 // JudgeHead judges the head of a long answer.
-func (m *message) JudgeHead(r *http.Response) core.Result {
+func (m *message) JudgeHead(r *http.Response, a forward.Arrival) core.Result {
 	id := r.Header.Get(hID)
 	if id != "" && id != m.id {
 		return core.Result{Code: choice.Reset}
 	}
-	result, _ := m.verdict(r, id, r.ContentLength < 0 && len(r.TransferEncoding) == 0)
+	result, _ := m.verdict(r, id, a)
 	if result.Code == choice.OK {
 		clean(r.Header)
 	}
 	return result
 }
 
-func (m *message) verdict(r *http.Response, id string, closed bool) (core.Result, forward.Fit) {
+// promises are statuses that tell a client that its request has not run and never will.
+var promises = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
+	http.StatusServiceUnavailable}
+
+func (m *message) verdict(r *http.Response, id string, a forward.Arrival) (core.Result, forward.Fit) {
 	_, notRun := r.Header[hNotRun]
 	switch {
+	case id == "" && !a.First: // it may be what came late for another request
+		m.f.Log(events.AnswerBad, "status", r.StatusCode, "error", "no id")
+		return core.Result{Code: choice.Reset}, forward.Doubtful
 	case r.StatusCode == http.StatusMisdirectedRequest:
 		m.f.Log(events.ServerMoved)
 		return core.Result{Code: choice.Busy}, forward.Doubtful
@@ -180,12 +187,15 @@
 	case id == "":
 		m.f.Log(events.AnswerBad, "status", r.StatusCode, "error", "no id")
 		return core.Result{Code: choice.Reset}, forward.Doubtful
-	case r.StatusCode >= 500 || r.StatusCode < 200:
+	case r.StatusCode >= 500 || r.StatusCode < 200 || slices.Contains(promises, r.StatusCode):
 		return core.Result{Code: choice.Error}, forward.Good
+	case a.Closed: // it may have been cut
+		m.f.Log(events.AnswerBad, "status", r.StatusCode, "error", "no known end")
+		return core.Result{Code: choice.Reset}, forward.Doubtful
 	case r.StatusCode >= 300:
 		return core.Result{Code: choice.OK}, forward.Good
-	case closed || r.Header.Get(hSeal) == "" || r.Header.Get("Content-Encoding") != "":
-		m.f.Log(events.AnswerBad, "status", r.StatusCode, "error", "no seal, or no known end")
+	case r.Header.Get(hSeal) == "" || r.Header.Get("Content-Encoding") != "":
+		m.f.Log(events.AnswerBad, "status", r.StatusCode, "error", "no seal, or encoded")
 		return core.Result{Code: choice.Reset}, forward.Doubtful
 	}
 	return core.Result{Code: choice.OK}, forward.Good
--- a/exchange/line/message_test.go
+++ b/exchange/line/message_test.go
@@ -26,6 +26,7 @@
 
 // Given an answer, when it is judged, then only the request's own and whole answer is passed on.
 func TestOnlyTheRequestsOwnAnswerIsPassedOn(t *testing.T) {
+	kept, first, closed := forward.Arrival{}, forward.Arrival{First: true}, forward.Arrival{Closed: true}
 	seal := http.Header{hID: {"id-1"}, hSeal: {"s"}}
 	with := func(name, value string) http.Header {
 		h := seal.Clone()
@@ -36,25 +37,33 @@
 		name   string
 		status int
 		header http.Header
-		closed bool
+		come   forward.Arrival
 		code   choice.Code
 		fit    forward.Fit
 	}{
-		{"its own", 200, seal, false, choice.OK, forward.Good},
-		{"another's", 200, with(hID, "id-0"), false, choice.Reset, forward.Foreign},
-		{"nobody's", 200, http.Header{hSeal: {"s"}}, false, choice.Reset, forward.Doubtful},
-		{"without a seal", 200, http.Header{hID: {"id-1"}}, false, choice.Reset, forward.Doubtful},
-		{"with an end that may be early", 200, seal, true, choice.Reset, forward.Doubtful},
-		{"encoded", 200, with("Content-Encoding", "gzip"), false, choice.Reset, forward.Doubtful},
-		{"turned away", 503, with(hNotRun, "1"), false, choice.Busy, forward.Good},
-		{"of another server", 421, http.Header{}, false, choice.Busy, forward.Doubtful},
-		{"failed, and may have run", 503, seal, false, choice.Error, forward.Good},
-		{"the server's own no", 404, seal, false, choice.OK, forward.Good},
+		{"its own", 200, seal, kept, choice.OK, forward.Good},
+		{"another's", 200, with(hID, "id-0"), kept, choice.Reset, forward.Foreign},
+		{"nobody's", 200, http.Header{hSeal: {"s"}}, kept, choice.Reset, forward.Doubtful},
+		{"nobody's, on a new connection", 200, http.Header{hSeal: {"s"}}, first, choice.Reset, forward.Doubtful},
+		{"without a seal", 200, http.Header{hID: {"id-1"}}, kept, choice.Reset, forward.Doubtful},
+		{"with an end that may be early", 200, seal, closed, choice.Reset, forward.Doubtful},
+		{"a no with such an end", 404, seal, closed, choice.Reset, forward.Doubtful},
+		{"encoded", 200, with("Content-Encoding", "gzip"), kept, choice.Reset, forward.Doubtful},
+		{"turned away", 503, with(hNotRun, "1"), kept, choice.Busy, forward.Good},
+		{"turned away, and not told who", 503, http.Header{hNotRun: {"1"}}, kept, choice.Reset, forward.Doubtful},
+		{"turned away on a new connection", 503, http.Header{hNotRun: {"1"}}, first, choice.Busy, forward.Good},
+		{"of another server", 421, seal, kept, choice.Busy, forward.Doubtful},
+		{"of another server on a new connection", 421, http.Header{}, first, choice.Busy, forward.Doubtful},
+		{"of another server, to somebody", 421, http.Header{}, kept, choice.Reset, forward.Doubtful},
+		{"failed, and may have run", 503, seal, kept, choice.Error, forward.Good},
+		{"the same by 429", 429, seal, kept, choice.Error, forward.Good},
+		{"the same by 408", 408, seal, kept, choice.Error, forward.Good},
+		{"the server's own no", 404, seal, kept, choice.OK, forward.Good},
 	} {
 		m := given()
 		res, fit := m.Judge(&http1.Response{Response: &http.Response{StatusCode: c.status,
 			Header: c.header.Clone()},
-			Content: []byte("body")}, c.closed)
+			Content: []byte("body")}, c.come)
 		if res.Code != c.code || fit != c.fit {
 			t.Errorf("%s: %v, %v; want %v, %v", c.name, res.Code, fit, c.code, c.fit)
 		}
--- a/internal/http1/pieces.go
+++ b/internal/http1/pieces.go
@@ -105,6 +105,9 @@
 	return p.left
 }
 
+// Endless tells that only the end of the connection ends the body that follows the head handed out last.
+func (p *Pieces) Endless() bool { return p.form == formUntilEnd }
+
 // Next returns the next piece. Its bytes are valid until the next call of Feed or Next. After an error the
 // stream can't be read on.
 func (p *Pieces) Next() (Kind, []byte, error) {
--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -250,8 +250,8 @@
 	f.mu.Unlock()
 }
 
-// Abort closes the attempt's connection, if the attempt is still on it. Whether it may have run is told by what
-// had left when the connection was closed: until then, its last byte could still go.
+// Abort closes the attempt's connection, if the attempt is still on it. Whether it may have run is told by
+// what had left when the connection was closed: until then, its last byte could still go.
 func (x *exchange) Abort() (mayHaveRun bool) {
 	x.mu.Lock()
 	x.aborted = true
--- a/internal/net/forward/hold.go
+++ b/internal/net/forward/hold.go
@@ -45,12 +45,22 @@
 	Foreign      // it answers another request: this one's is yet to come
 )
 
-// Judging is a Streamed message that judges its answers by itself. closed says that only the connection's end
-// completed the answer.
+// Arrival is how an answer came.
+type Arrival struct {
+	Closed bool // only the connection's end completes it
+	First  bool // nothing was asked on its connection before, and nothing has come
+}
+
+// Judging is a Streamed message that judges its answers by itself.
 type Judging interface {
-	Judge(r *http1.Response, closed bool) (core.Result, Fit)
+	Judge(r *http1.Response, a Arrival) (core.Result, Fit)
 	// JudgeHead judges the head of an answer that is too long to be held, and leaves of it what goes on.
-	JudgeHead(r *http.Response) core.Result
+	JudgeHead(r *http.Response, a Arrival) core.Result
+}
+
+// arrival tells how an answer came.
+func (c *conn) arrival(closed bool) Arrival {
+	return Arrival{Closed: closed, First: c.count == 1 && !c.foreign}
 }
 
 // awaitOwn goes on to read after an answer that was another request's, which came late. The connection is not
@@ -84,7 +94,7 @@
 		result = c.f.Judge(answer)
 	} else {
 		var fit Fit
-		switch result, fit = j.Judge(answer, closed); {
+		switch result, fit = j.Judge(answer, c.arrival(closed)); {
 		case fit == Foreign && !closed:
 			c.awaitOwn(x)
 			return true, true
--- a/internal/net/forward/stream.go
+++ b/internal/net/forward/stream.go
@@ -294,11 +294,12 @@
 		return false
 	}
 	c.head = nil
-	judge := c.f.Streams
+	var result core.Result
 	if j, ok := x.Payload.(Judging); ok {
-		judge = j.JudgeHead
+		result = j.JudgeHead(r, c.arrival(c.pieces.Endless()))
+	} else {
+		result = c.f.Streams(r)
 	}
-	result := judge(r)
 	if result.Code != choice.OK && reply == nil {
 		c.finish(result, "answer-not-passed")
 		return false
