Close a connection after a long answer, too, on which another request's had come

Cause: that an answer of another request had come on a connection was looked at only after short answers. Change: long ones end it as doubtful like short ones.

--- a/internal/net/forward/stream.go
+++ b/internal/net/forward/stream.go
@@ -330,8 +330,11 @@
 		to.Cut()
 		return false
 	}
-	if r.Close || !r.ProtoAtLeast(1, 1) || code != "" || !x.stream.sent.Load() || c.pieces.Buffered() > 0 {
+	if r.Close || !r.ProtoAtLeast(1, 1) || code != "" || !x.stream.sent.Load() || c.pieces.Buffered() > 0 ||
+		c.foreign {
 		switch {
+		case c.foreign:
+			code = "doubtful"
 		case c.pieces.Buffered() > 0:
 			code = "unasked-bytes"
 		case code == "":
