Close idle connections by the time that their server tells

Cause: the time in a server's Keep-Alive was never read: connections stood idle for 6 s whatever it said, so that a request could go out on one that the server was just closing, and a writing one was lost by it. Change: six tenths of the time told, of what is configured where none is.

--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,7 +38,7 @@
 type Config struct {
 	Dial        func(ctx context.Context, network, addr string) (net.Conn, error)
 	DialTimeout time.Duration
-	KeepAlive   time.Duration // servers close connections that stood idle so long
+	KeepAlive   time.Duration // servers close connections that stood idle so long, unless they tell another time
 	Connections int           // the most to all servers
 	Stall       time.Duration // how long an answer that has begun may stand still; 0: any time
 	Judge       Judge
@@ -242,10 +244,26 @@
 	return false
 }
 
+// told takes from an answer's head how long its server keeps idle connections, in whole seconds.
+func (c *conn) told(h http.Header) {
+	for _, line := range h["Keep-Alive"] {
+		for part := range strings.SplitSeq(line, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+			if n, err := strconv.ParseUint(value, 10, 16); err == nil && strings.EqualFold(name, "timeout") {
+				c.keeps, c.keep = true, time.Duration(n)*time.Second
+			}
+		}
+	}
+}
+
 func (f *Forwarder) give(c *conn) {
 	f.mu.Lock()
 	c.used = time.Now()
-	c.nc.SetReadDeadline(c.used.Add(time.Duration(idlePart * float64(f.KeepAlive))))
+	keep := f.KeepAlive
+	if c.keeps {
+		keep = c.keep
+	}
+	c.nc.SetReadDeadline(c.used.Add(time.Duration(idlePart * float64(keep))))
 	f.idle[c.at] = append(f.idle[c.at], c)
 	f.mu.Unlock()
 }
@@ -407,6 +425,8 @@
 	ended   bool
 	shut    sync.Once
 	foreign bool // an answer has come that is not the request's. The reader's
+	keeps   bool // the server has told how long it keeps idle connections. The reader's
+	keep    time.Duration
 	count   int
 }
 
@@ -522,7 +542,9 @@
 	msg, err := next()
 	var r *http1.Response
 	if err == nil && msg != nil {
-		r, err = c.parser.Response(msg)
+		if r, err = c.parser.Response(msg); err == nil {
+			c.told(r.Header)
+		}
 	}
 	beyond, early := c.frames.Buffered() > 0, c.writing
 	c.mu.Unlock()
--- a/internal/net/forward/stream.go
+++ b/internal/net/forward/stream.go
@@ -254,7 +254,9 @@
 		}
 		var r *http.Response
 		if err == nil && kind == http1.Head {
-			r, err = c.parser.ResponseHead(piece, x.stream.method)
+			if r, err = c.parser.ResponseHead(piece, x.stream.method); err == nil {
+				c.told(r.Header)
+			}
 		}
 		switch {
 		case err != nil:
