Promise nothing of a request part of which has left, when its body breaks off

Cause: a client whose body was too slow, or came too late before the process's end, was told 408 or 503, by which the whole system's clients go as a promise, though part of it had gone to a server, all of it at times: its last bytes and the end of the time for it could cross. Change: where these statuses promise (accept.Streams.Promises), they are given only if the core says so too.

--- a/exchange/line/message.go
+++ b/exchange/line/message.go
@@ -169,10 +169,6 @@
 	return result
 }
 
-// promises are statuses that tell a client that its request has not run and never will.
-var promises = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
-	http.StatusServiceUnavailable}
-
 func (m *message) verdict(r *http.Response, id string, a forward.Arrival) (core.Result, forward.Fit) {
 	_, notRun := r.Header[hNotRun]
 	switch {
@@ -187,7 +183,7 @@
 	case id == "":
 		m.f.Log(events.AnswerBad, "status", r.StatusCode, "error", "no id")
 		return core.Result{Code: choice.Reset}, forward.Doubtful
-	case r.StatusCode >= 500 || r.StatusCode < 200 || slices.Contains(promises, r.StatusCode):
+	case r.StatusCode >= 500 || r.StatusCode < 200 || http1.Promises(r.StatusCode):
 		return core.Result{Code: choice.Error}, forward.Good
 	case a.Closed: // it may have been cut
 		m.f.Log(events.AnswerBad, "status", r.StatusCode, "error", "no known end")
--- a/exchange/plant/plant.go
+++ b/exchange/plant/plant.go
@@ -302,10 +302,11 @@
 	}
 	limits := p.front.Bounds()
 	clients := accept.NewStreams(l, p.front, p.files()-int(serverPart*float64(p.files())), accept.Streams{
-		Head: limits.Head, Short: 64 << 10, Wait: limits.HeadWait, Idle: limits.IdleIn, Accept: acceptOn,
-		Life:  time.Duration(p.set.Figure("grace_period_s", 6) * float64(time.Second)),
-		Store: flow.NewStore(max(16, p.set.Limits.MemoryMB) << 20 / 8),
-		Rest:  flow.Pace{Least: 32 << 10, Grace: 3 * time.Second}}, zerolog.Nop())
+		Head: limits.Head, Promises: true, Short: 64 << 10, Wait: limits.HeadWait, Idle: limits.IdleIn,
+		Accept: acceptOn,
+		Life:   time.Duration(p.set.Figure("grace_period_s", 6) * float64(time.Second)),
+		Store:  flow.NewStore(max(16, p.set.Limits.MemoryMB) << 20 / 8),
+		Rest:   flow.Pace{Least: 32 << 10, Grace: 3 * time.Second}}, zerolog.Nop())
 	p.clients = clients
 	go clients.Serve()
 	p.Log(events.Ready)
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -123,6 +123,16 @@
 	return Plain(status, text)
 }
 
+// Promises reports whether a status tells that the request has not run and never will.
+func Promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
+		http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Plain is an answer of one line of text.
 func Plain(status int, text string) *Answer {
 	return &Answer{Status: status, Header: [][2]string{{"Content-Type", "text/plain; charset=utf-8"}},
--- a/internal/net/accept/accept_test.go
+++ b/internal/net/accept/accept_test.go
@@ -282,6 +282,38 @@
 	})
 }
 
+// taker takes bodies, and says of one that is cut that it may have run.
+type taker struct{ x *Exchange }
+
+func (taker) Stream(x *Exchange) func() {
+	go x.Upload.Attach(taker{x})
+	return nil
+}
+
+func (taker) Write([]byte) error { return nil }
+func (taker) Last()              {}
+func (taker) Close([]byte) error { return nil }
+func (t taker) Cut()             { t.x.Answer(http1.Plain(502, "cut")) }
+
+// Given a body that breaks off when part of it has left, then its client is not told by a status that
+// promises it that the request has not run, where these statuses promise that.
+func TestNothingIsPromisedOfWhatHasLeft(t *testing.T) {
+	for promises, want := range map[bool]string{false: "503", true: "502"} {
+		synctest.Test(t, func(t *testing.T) {
+			n, o := scenario.NewNet(), Platform
+			l, _ := n.Listen("memory", "ingress")
+			o.Life, o.Promises = 3*time.Second, promises
+			s := NewStreams(l, taker{}, 4, o, zerolog.Nop())
+			go s.Serve()
+			time.AfterFunc(time.Second, s.Drain)
+			scenario.Play(t, n, map[string]string{"part": strings.Repeat("x", 65000)}, `
+				client send POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n$part
+				client wait 3.9s
+				client expect HTTP/1.1 `+want)
+		})
+	}
+}
+
 // A client that sends all of a long body before it reads gets the answer that was given at its head.
 func TestTheRestOfARefusedBodyIsRead(t *testing.T) {
 	l, err := direct.Listen("tcp", "127.0.0.1:0")
--- a/internal/net/accept/stream.go
+++ b/internal/net/accept/stream.go
@@ -42,6 +42,9 @@
 	// Store, if set, takes bodies over Short, and those that don't tell their length, before the Streamer gets
 	// the request, as long as it has room. Those that wait to be asked for are asked for then.
 	Store *flow.Store
+	// Promises says that to these clients 408, 421, 429 and 503 tell that a request has not run and never will:
+	// one whose body breaks off is answered so only if the Streamer's answer is of these, too.
+	Promises bool
 	// Rest is how fast the rest of a body has to come whose request was answered before its end. It is read
 	// and dropped, since a client that sends all before it reads would not see the answer. The zero Pace:
 	// what comes within lingerWait.
@@ -605,7 +608,9 @@
 		c.mu.Unlock()
 		return
 	}
-	if x.answer != nil {
+	// Its body was not whole when x.answer was to be the answer; what had left of it may have run all the same.
+	if p := c.s.streams.Promises; x.answer != nil &&
+		(!p || http1.Promises(a.Status) || !http1.Promises(x.answer.Status)) {
 		a = x.answer
 	}
 	out := a.Append(c.out[:0], c.closes(x))
