Send a request again by a connection that has not carried it before

Cause: the first attempt's second answer, come late, bears the id of the second attempt, too. Where both went by one connection it passed for the answer to the second, and the connection, which owed one more, was kept. Change: the connection that carried a request last is not taken for it again. take has an argument more, which its test passes as nil.

--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -146,7 +146,7 @@
 		go x.dial()
 		return x
 	}
-	if c := f.take(placeOf(a.Server)); c != nil {
+	if c := f.take(placeOf(a.Server), a.Payload); c != nil {
 		x.conn = c
 		go x.reuse(c)
 		return x
@@ -157,7 +157,7 @@
 
 // reuse writes the request to an idle connection, or to another if that one is spoilt.
 func (x *exchange) reuse(c *conn) {
-	for ; c != nil; c = x.f.take(placeOf(x.Server)) {
+	for ; c != nil; c = x.f.take(placeOf(x.Server), x.Payload) {
 		if !x.on(c) {
 			return
 		}
@@ -206,8 +206,9 @@
 }
 
 // take returns the connection used last of those that have rested, or else the one that has rested longest.
-// Guards against handing out, under load, the one whose answer has just come, and waiting for its rest.
-func (f *Forwarder) take(at place) *conn {
+// Guards against handing out, under load, the one whose answer has just come, and waiting for its rest. One
+// that carried the same request last is left alone: a second answer to that would pass for the one awaited.
+func (f *Forwarder) take(at place, request any) *conn {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	pool := f.idle[at]
@@ -215,10 +216,13 @@
 		return nil
 	}
 	rested, i := time.Now().Add(-settleTime), len(pool)-1
-	for i > 0 && pool[i].used.After(rested) {
+	for i > 0 && (pool[i].used.After(rested) || pool[i].carried(request)) {
 		i--
 	}
 	c := pool[i]
+	if c.carried(request) {
+		return nil
+	}
 	f.idle[at] = slices.Delete(pool, i, i+1)
 	if len(pool) == 1 { // servers come and go with the fleet
 		delete(f.idle, at)
@@ -227,6 +231,9 @@
 	return c
 }
 
+// carried reports whether the request that a connection carried last is this one. The pool's lock is held.
+func (c *conn) carried(request any) bool { return c.last != nil && c.last == request }
+
 // remove takes a connection out of the pool; it reports false if an attempt has taken it.
 func (f *Forwarder) remove(c *conn) bool {
 	f.mu.Lock()
@@ -256,9 +263,14 @@
 	}
 }
 
-func (f *Forwarder) give(c *conn) {
+func (f *Forwarder) give(c *conn, x *exchange) {
 	f.mu.Lock()
-	c.used = time.Now()
+	c.used, c.last = time.Now(), nil
+	if x != nil {
+		if j, ok := x.Payload.(Judging); ok {
+			c.last = j
+		}
+	}
 	keep := f.KeepAlive
 	if c.keeps {
 		keep = c.keep
@@ -410,6 +422,7 @@
 	at    place
 	since time.Time
 	used  time.Time // when it last became idle; the pool's lock guards it
+	last  any       // the request that it carried last, if that judges its answers; likewise
 
 	mu      sync.Mutex
 	frames  *http1.Framer  // of answers held whole; else nil
@@ -595,7 +608,7 @@
 		c.f.reused(false)
 	}
 	if !ended {
-		c.f.give(c)
+		c.f.give(c, x)
 	}
 	return x, ended
 }
--- a/internal/net/forward/forward_test.go
+++ b/internal/net/forward/forward_test.go
@@ -35,14 +35,14 @@
 			all = append(all, &conn{f: f, nc: near, at: at, used: time.Now().Add(-age)})
 		}
 		f.idle[at] = append(f.idle[at], all...)
-		if got := f.take(at); got != all[c.want] {
+		if got := f.take(at, nil); got != all[c.want] {
 			t.Errorf("%s: not the one at %d", name, c.want)
 		}
 		if n := len(f.idle[at]); n != len(all)-1 {
 			t.Errorf("%s: %d are left", name, n)
 		}
 	}
-	if f := New(Config{}); f.take(at) != nil {
+	if f := New(Config{}); f.take(at, nil) != nil {
 		t.Error("one from an empty pool")
 	}
 }
