--- a/internal/net/forward/forward_test.go
+++ b/internal/net/forward/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -96,3 +97,31 @@
 		t.Errorf("ended another's connection: %v", other.ended)
 	}
 }
+
+// watched is a connection on which something has come that nobody asked for.
+type watched struct{ net.Conn }
+
+func (watched) Unread() bool { return true }
+
+func (w watched) ReadWanted(p []byte, _ sync.Locker, _ func() bool) (int, error) { return w.Read(p) }
+
+// Given an idle connection on which something has come and was not noticed yet, then no request is written.
+func TestNothingIsWrittenBehindWhatHasCome(t *testing.T) {
+	near, far := net.Pipe()
+	f := New(Config{})
+	f.slots <- struct{}{}
+	c := &conn{f: f, nc: watched{near}}
+	x := &exchange{f: f, Attempt: core.Attempt{Payload: hello{}}}
+	left := make(chan []byte, 1)
+	go func() {
+		b, _ := io.ReadAll(far)
+		left <- b
+	}()
+	if x.write(c) || !c.ended || x.written {
+		t.Errorf("written: %v, ended: %v", x.written, c.ended)
+	}
+	near.Close()
+	if b := <-left; len(b) > 0 {
+		t.Errorf("%q has left", b)
+	}
+}
