Wait for a silent server for as long as the request has

Cause: an answer on its way was cut when its server stood still for 10 s, however long the client and the route had given it; a server's silence is no reason to end an answer sooner. Change: the limit is the request's own time, and 10 s at the least.

--- a/exchange/line/line.go
+++ b/exchange/line/line.go
@@ -263,6 +263,10 @@
 		held.Head, m.terms = left, &held
 		left += terms.ClientUp.Grace
 	}
+	if left > m.terms.ServerDown.Stall { // a server's silence ends no answer before its time
+		patient := *m.terms
+		patient.ServerDown.Stall, m.terms = left, &patient
+	}
 	if ends, told := x.Left(); told { // an answer after the process's end is none
 		left = min(left, ends-margin)
 	}
