--- a/exchange/signal/pack.go
+++ b/exchange/signal/pack.go
@@ -54,6 +54,11 @@
 		p.Base = base
 		p.Raw = Encode(nil, diff(old, text))
 	}
+	return squeezed(p)
+}
+
+// squeezed squeezes what is long.
+func squeezed(p *Packed) *Packed {
 	if len(p.Raw) >= squeezeFrom {
 		var b bytes.Buffer
 		w, _ := flate.NewWriter(&b, flate.BestSpeed)
@@ -122,18 +127,8 @@
 	cut(old, func(at int, part []byte) { places[string(part)] = at })
 	c := &change{}
 	cut(text, func(_ int, part []byte) {
-		n := len(c.Pieces)
 		at, same := places[string(part)]
-		switch {
-		case same && n > 0 && c.Pieces[n-1].Size > 0 && c.Pieces[n-1].From+c.Pieces[n-1].Size == uint64(at):
-			c.Pieces[n-1].Size += uint64(len(part))
-		case same:
-			c.Pieces = append(c.Pieces, piece{From: uint64(at), Size: uint64(len(part))})
-		case n > 0 && c.Pieces[n-1].Size == 0:
-			c.Pieces[n-1].New = append(c.Pieces[n-1].New, part...)
-		default:
-			c.Pieces = append(c.Pieces, piece{New: bytes.Clone(part)})
-		}
+		c.add(uint64(at), same, part)
 	})
 	return c
 }
