Keep records under digests, in ranges; a disk that refuses a change ends no process

Cause: pebble calls Fatalf at the first error of a sync, and panics at one of a new log, where the mutex that its deferred call unlocks isn't held: "fatal error: unlock of unlocked mutex", which no recover stops. A full disk so ended the process. A store was read without any digest, and each change wrote the whole configuration.

Change: pebble is told no errors of changes. One that the disk refuses is tried again in place until it is taken, and the save that waits is told as failed at once; the next save goes behind it. After a failed sync, where trying again proves nothing, the store is fenced off from the disk, left alone, and opened anew (0.5 s later, doubling up to 30 s: what is left of it keeps its memory). A machine that starts on a full disk reads its record and serves. The head holds the digests of the list of ranges and of the numbers taken, the list those of the ranges; what reads otherwise is laid aside as vault.damaged and counts as a lost disk (event 32), also for the first start. A store of the earlier form is refused.

Seeded defects found: a save told before its sync, a record in two batches, no look at the digests.

--- a/exchange/plant/plant.go
+++ b/exchange/plant/plant.go
@@ -150,12 +150,17 @@
 func (p *Plant) open() error {
 	self := signal.Machine{Addr: p.set.Trunk(), Zone: p.set.Zone}
 	var disk *frame.Record
+	first := p.set.Fresh
 	if p.set.DataDir != "" {
 		v, record, err := vault.Open(p.set.DataDir)
 		if err != nil {
 			return trace.Wrap(err, "data_dir %s", p.set.DataDir)
 		}
 		p.vault, disk = v, &record
+		if err := v.Damaged(); err != nil {
+			p.Log(events.DiskDamaged, "error", err.Error())
+			first = false
+		}
 	}
 	p.forward = forward.New(forward.Config{Dial: direct.Dial, DialTimeout: dialLimit, KeepAlive: keepAlive,
 		Connections: int(serverPart * float64(p.files())), Hold: holdAnswer,
@@ -181,7 +186,7 @@
 	_, port, _ := net.SplitHostPort(p.set.Listen.Control)
 	p.desk = &desk.Desk{Core: p, Ready: p.ready, Board: board, Port: port, Log: p.Log}
 	p.office = office.New(p.now(), office.Options{Self: self, Seeds: p.set.SeedTrunks(),
-		Survive: p.set.Survive.Machines, LostAfter: p.lostAfter(), First: p.set.Fresh, Disk: disk,
+		Survive: p.set.Survive.Machines, LostAfter: p.lostAfter(), First: first, Disk: disk,
 		Limits: p.limits, Life: life, Actions: (*actions)(p)})
 	var err error
 	p.trunk, err = trunk.New(trunk.Options{Self: self.Addr, Life: life, Listen: net.Listen,
--- /dev/null
+++ b/exchange/vault/changes_test.go
@@ -0,0 +1,126 @@
+package vault
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"reflect"
+	"runtime"
+	"testing"
+	"time"
+
+	"dunespoke/exchange/frame"
+	"dunespoke/exchange/signal"
+)
+
+// history is a configuration under changes, each of which changes one item.
+type history struct {
+	rng   *rand.Rand
+	items [][]byte
+	r     frame.Record
+}
+
+func newHistory(routes int) *history {
+	h := &history{rng: rand.New(rand.NewPCG(7, 7)), items: make([][]byte, routes),
+		r: frame.Record{Whole: true, Registry: []signal.Machine{{Addr: "a"}, {Addr: "b"}, {Addr: "c"}}, Promised: 64,
+			Epoch: 64, Chain: []string{"a", "b", "c"}, Content: frame.Content{Stamp: 64}}}
+	for i := range h.items {
+		h.items[i] = h.route(i)
+	}
+	return h
+}
+
+func (h *history) route(i int) []byte {
+	return fmt.Appendf(nil, `{"item_kind":"routes","metadata":{"name":"route-%d"},"desired":{"domain":"%x.example",`+
+		`"path_start":"/%x/","backend":"service-%d","wait_s":%d,"labels":{"team":"team-%x","note":"%x-%x"}}},`, i,
+		h.rng.Uint64(), h.rng.Uint32(), h.rng.IntN(830), h.rng.IntN(30), h.rng.Uint32(), h.rng.Uint64(), h.rng.Uint64())
+}
+
+// next changes items, and returns the record to be saved.
+func (h *history) next(items int) frame.Record {
+	for range items {
+		at := h.rng.IntN(len(h.items))
+		h.items[at] = h.route(at)
+	}
+	h.r.Version++
+	h.r.Config = bytes.Join(h.items, nil)
+	taken := signal.Taken{Version: h.r.Version, Digest: frame.DigestOf(h.r.Config)}
+	h.r.Past = append(h.r.Past[max(0, len(h.r.Past)-511):len(h.r.Past):len(h.r.Past)], taken)
+	return h.r
+}
+
+// folder is what the files of a store take.
+func folder(dir string) (size int64) {
+	filepath.Walk(dir, func(_ string, i os.FileInfo, err error) error {
+		if err == nil && !i.IsDir() {
+			size += i.Size()
+		}
+		return nil
+	})
+	return size
+}
+
+// changes saves a history of n changes of so many items each, and returns the most that its folder took in each half of it, and how long the
+// last opening took.
+func changes(t testing.TB, routes, each, n int) (first, second int64, opening time.Duration) {
+	dir, h := t.TempDir(), newHistory(routes)
+	v, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var last frame.Record
+	for i := range n {
+		if last = h.next(each); !v.save(last) {
+			t.Fatal("not saved")
+		}
+		if i%7 != 0 {
+			continue
+		}
+		if size := folder(dir); i < n/2 {
+			first = max(first, size)
+		} else {
+			second = max(second, size)
+		}
+	}
+	if err := v.Close(time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	v, r, err := Open(dir)
+	opening = time.Since(began)
+	if err != nil || !reflect.DeepEqual(r, last) {
+		t.Fatalf("opened again: version %d of %d, %v", r.Version, last.Version, err)
+	}
+	v.Close(time.Minute)
+	return first, second, opening
+}
+
+// Given hundreds of changes, when as many follow, then the store takes no more of the disk than before, and
+// little beside the configuration itself.
+func TestAStoreDoesNotGrowWithChanges(t *testing.T) {
+	first, second, _ := changes(t, 700, 1, 1200)
+	t.Logf("at most %d kB, then %d kB", first>>10, second>>10)
+	if second > first*5/4+1<<20 || second > 12<<20 {
+		t.Errorf("at most %d bytes in the first half, %d in the second", first, second)
+	}
+}
+
+// BenchmarkChanges is the measurement at size: go test -bench Changes -benchtime 10000x ./exchange/vault
+func BenchmarkChanges(b *testing.B) {
+	for _, c := range []struct{ routes, each int }{{1_400, 1}, {14_000, 1}, {14_000, 14_000}} {
+		b.Run(fmt.Sprintf("%d-of-%d", c.each, c.routes), func(b *testing.B) {
+			runtime.GC()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			first, second, opening := changes(b, c.routes, c.each, b.N)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(first)/1e6, "MB-first-half")
+			b.ReportMetric(float64(second)/1e6, "MB-second-half")
+			b.ReportMetric(float64(opening.Microseconds())/1e3, "ms-opening")
+			b.ReportMetric(float64(int64(after.HeapInuse)-int64(before.HeapInuse))/1e6, "MB-heap-grown")
+		})
+	}
+}
--- /dev/null
+++ b/exchange/vault/crash_test.go
@@ -0,0 +1,580 @@
+package vault
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"reflect"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"dunespoke/exchange/frame"
+	"dunespoke/exchange/signal"
+)
+
+// disk is a disk in memory whose power can be cut, and that refuses what it is told to.
+type disk struct {
+	*vfs.MemFS
+	mu     sync.Mutex // one change at a time
+	n      int        // changes so far, syncs among them
+	before func(n int, o op) error
+	after  func(n int, o op) error
+}
+
+func newDisk() *disk {
+	d := &disk{MemFS: vfs.NewCrashableMem()}
+	d.MemFS.MkdirAll("data", 0o700)
+	for _, name := range []string{"/", "data"} {
+		f, _ := d.MemFS.OpenDir(name)
+		f.Sync()
+		f.Close()
+	}
+	return d
+}
+
+// ways are those of the program, over this disk, and with tables that fill up soon.
+func (d *disk) ways() ways {
+	w := onDisk
+	w.fs, w.memory, w.pause = watched{d.MemFS, d.around}, 24<<10, runtime.Gosched
+	began, calls := time.Now(), time.Duration(0)
+	w.now = func() time.Time { // an hour goes by between any two looks at the clock
+		calls++
+		return began.Add(calls * time.Hour)
+	}
+	return w
+}
+
+func (d *disk) around(o op, do func() error) error {
+	if o == opRead {
+		return do()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.n++
+	if d.before != nil {
+		if err := d.before(d.n, o); err != nil {
+			return err
+		}
+	}
+	err := do()
+	if err == nil && d.after != nil {
+		err = d.after(d.n, o)
+	}
+	return err
+}
+
+// lose is the disk after a loss of power: what was synced, and of the rest what is drawn, each block of a
+// file, each new file, rename and removal by itself. It is called where nothing changes the disk.
+func (d *disk) lose(percent int, rng *rand.Rand) *disk {
+	left := &disk{MemFS: d.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: percent, RNG: rng})}
+	for _, dir := range []string{"data", "data/" + storeName} {
+		names, _ := left.List(dir)
+		there, _ := d.List(dir)
+		slices.Sort(names)
+		for _, name := range names { // the clone has all that was removed without a sync
+			if percent > 0 && rng.IntN(100) < percent && !slices.Contains(there, name) {
+				left.MemFS.RemoveAll(filepath.Join(dir, name))
+			}
+		}
+	}
+	return left
+}
+
+// record is the i-th that is saved, i from 1. No two share a configuration, or a part of one.
+func record(i int) frame.Record {
+	rng := rand.New(rand.NewPCG(uint64(i), 3))
+	var config []byte
+	for n := range 20 + rng.IntN(100) {
+		config = fmt.Appendf(config, `{"item_kind":"routes","metadata":{"name":"%d-%d"},"desired":{"x":"%x"}},`, i, n,
+			rng.Uint64())
+	}
+	if i%3 == 0 { // as the one before, but for its epoch
+		r := record(i - 1)
+		r.Promised, r.Epoch = uint64(64*i), uint64(64*i)
+		return r
+	}
+	return frame.Record{Whole: true, Registry: []signal.Machine{{Addr: "a", Zone: "z"}}, Promised: uint64(64 * i),
+		Epoch: uint64(64 * i), Chain: []string{"a", "b"}, Content: frame.Content{Stamp: uint64(64 * i),
+			Version: uint64(i), Config: config,
+			Past: []signal.Taken{{Version: uint64(i), Digest: frame.DigestOf(config)}}}}
+}
+
+// number tells which record one is; -1: none that was ever saved.
+func number(r frame.Record) int {
+	i := int(r.Promised / 64)
+	if i == 0 && reflect.DeepEqual(r, frame.Record{}) || i > 0 && reflect.DeepEqual(r, record(i)) {
+		return i
+	}
+	return -1
+}
+
+func (v *Vault) save(r frame.Record) bool {
+	told := make(chan bool)
+	v.Save(r, func(ok bool) { told <- ok })
+	return <-told
+}
+
+// holds opens what a disk holds, and says what is wrong with it, if the record of a number was told as saved.
+func holds(d *disk, w ways, told int) string {
+	w.fs = watched{d.MemFS, d.around}
+	v, r, err := open("data", w)
+	if err != nil {
+		return fmt.Sprint("it does not open: ", err)
+	}
+	defer v.Close(time.Minute)
+	switch i := number(r); {
+	case v.Damaged() != nil:
+		return fmt.Sprint("it is damaged: ", v.Damaged())
+	case i < 0:
+		return fmt.Sprintf("it holds what was never saved: stamp %d, version %d", r.Stamp, r.Version)
+	case i < told:
+		return fmt.Sprintf("it holds record %d, and %d was told as saved", i, told)
+	case !v.save(record(i + 1)):
+		return "it takes no more"
+	}
+	return ""
+}
+
+// outage saves records while the power goes at each change of the disk in turn, each time with a loss of its
+// own, and returns what is found wrong first.
+func outage(change func(*ways), saves int) (found string, changes int) {
+	d := newDisk()
+	rng := rand.New(rand.NewPCG(7, 1))
+	var told atomic.Int64
+	w := d.ways()
+	change(&w)
+	d.before = func(n int, _ op) error {
+		for _, percent := range []int{0, 50} {
+			if found != "" || n%2 != percent/50 {
+				continue
+			}
+			if f := holds(d.lose(percent, rng), w, int(told.Load())); f != "" {
+				found = fmt.Sprintf("power lost at change %d, %d%% of the rest kept: %s", n, percent, f)
+			}
+		}
+		return nil
+	}
+	v, _, err := open("data", w)
+	if err != nil {
+		return err.Error(), 0
+	}
+	for i := 1; i <= saves; i++ {
+		if v.save(record(i)) {
+			told.Store(int64(i))
+		}
+	}
+	v.Close(time.Minute)
+	return found, d.n
+}
+
+// Given records that are saved one after the other, when the power goes at any change of the disk, and what
+// was not synced is kept or lost piece by piece, then the store opens, with a record at least as new as the
+// last that was told as saved, and all of that one.
+func TestALossOfPowerAnywhere(t *testing.T) {
+	found, changes := outage(func(*ways) {}, 40)
+	if found != "" {
+		t.Error(found)
+	}
+	t.Logf("%d changes of the disk", changes)
+	if changes < 200 {
+		t.Errorf("only %d changes of the disk: no table was written", changes)
+	}
+}
+
+// Seeded defects, each of which the test above finds.
+func TestALossOfPowerFinds(t *testing.T) {
+	for name, defect := range map[string]func(*ways){
+		"a save told before its sync": func(w *ways) {
+			w.commit = func(db *pebble.DB, b *pebble.Batch) error { return db.Apply(b, pebble.NoSync) }
+		},
+		"a record written in two batches": func(w *ways) {
+			w.commit = inParts
+		},
+	} {
+		found, _ := outage(defect, 20)
+		if found == "" {
+			t.Errorf("%s: not found", name)
+		}
+		t.Log(name, "->", found)
+	}
+}
+
+// inParts commits each key of a batch by itself.
+func inParts(db *pebble.DB, b *pebble.Batch) error {
+	for r := b.Reader(); len(r) > 0; {
+		kind, key, value, ok, err := r.Next()
+		if !ok || err != nil {
+			return err
+		}
+		if kind == pebble.InternalKeyKindDelete {
+			err = db.Delete(key, pebble.Sync)
+		} else {
+			err = db.Set(key, value, pebble.Sync)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Given a disk that refuses a change, any one or all from there on, or that says so of a change that it made,
+// when it takes changes again, then so does the vault, and it never told as saved what it doesn't hold.
+func TestARefusalAnywhere(t *testing.T) {
+	const saves = 14
+	one := func(past int) error {
+		if past > 0 {
+			return nil
+		}
+		return syscall.ENOSPC
+	}
+	for _, c := range []struct {
+		name          string
+		before, after func(past int) error // past the change at which it begins
+	}{
+		{"all are refused", func(int) error { return syscall.ENOSPC }, nil},
+		{"one is refused, or is made and said to have failed", one, one},
+	} {
+		refused, at := 0, 1
+		for ; ; at++ {
+			d := newDisk()
+			var begun atomic.Bool
+			around := func(f func(int) error) func(int, op) error {
+				return func(n int, _ op) error {
+					if f == nil || n < at {
+						return nil
+					}
+					begun.Store(true)
+					return f(n - at)
+				}
+			}
+			d.before, d.after = around(c.before), around(c.after)
+			if c.after != nil && at%2 == 0 {
+				d.before = nil
+			} else {
+				d.after = nil
+			}
+			v, _, err := open("data", d.ways())
+			if err != nil {
+				t.Fatalf("%s, at change %d: not opened: %v", c.name, at, err)
+			}
+			told, failed := 0, 0
+			for i := 1; told < saves && failed <= 6; i++ {
+				if v.save(record(i)) {
+					told = i
+					continue
+				}
+				if refused++; !begun.Load() {
+					t.Fatalf("%s, at change %d: save %d failed before", c.name, at, i)
+				}
+				if failed++; failed == 3 { // it is well again
+					d.mu.Lock()
+					d.before, d.after = nil, nil
+					d.mu.Unlock()
+				}
+			}
+			if told < saves {
+				t.Fatalf("%s, at change %d: %d saves of %d, %d failed", c.name, at, told, saves, failed)
+			}
+			d.mu.Lock()
+			d.before, d.after = nil, nil
+			left := d.lose(0, nil)
+			d.mu.Unlock()
+			if f := holds(left, d.ways(), told); f != "" {
+				t.Fatalf("%s, at change %d: %s", c.name, at, f)
+			}
+			v.Close(time.Minute)
+			if !begun.Load() {
+				break
+			}
+		}
+		t.Logf("%s: at %d changes, %d saves failed", c.name, at, refused)
+		if refused == 0 {
+			t.Errorf("%s: no save failed", c.name)
+		}
+	}
+}
+
+// Given a disk that takes nothing, when a machine starts on it, then it has the record that is there, its saves
+// fail, and once the disk is well they don't. The same at each change that opening makes.
+func TestAStartOnADiskThatTakesNothing(t *testing.T) {
+	for _, saves := range []int{0, 1, 14} {
+		old := newDisk()
+		v, _, err := open("data", old.ways())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := 1; i <= saves; i++ {
+			v.save(record(i))
+		}
+		old.mu.Lock()
+		left := func() *disk { return old.lose(100, rand.New(rand.NewPCG(1, 1))) }
+		for at := 1; ; at++ {
+			d := left()
+			d.before = func(n int, _ op) error {
+				if n < at {
+					return nil
+				}
+				return syscall.ENOSPC
+			}
+			v, r, err := open("data", d.ways())
+			if err != nil || v.Damaged() != nil || number(r) != saves {
+				t.Fatalf("%d saves, full from change %d on: record %d, %v, %v", saves, at, number(r), err, v.Damaged())
+			}
+			d.mu.Lock()
+			opened := d.n < at
+			d.mu.Unlock()
+			if !opened && v.save(record(saves+1)) {
+				t.Fatalf("%d saves, full from change %d on: a save went well", saves, at)
+			}
+			d.mu.Lock()
+			d.before = nil
+			d.mu.Unlock()
+			for n := 0; !v.save(record(saves + 2)); n++ {
+				if n > 3 {
+					t.Fatalf("%d saves, full from change %d on: no save goes well again", saves, at)
+				}
+			}
+			d.mu.Lock()
+			f := holds(d.lose(0, nil), d.ways(), saves+2)
+			d.mu.Unlock()
+			if f != "" {
+				t.Fatalf("%d saves, full from change %d on: %s", saves, at, f)
+			}
+			v.Close(time.Minute)
+			if opened {
+				break
+			}
+		}
+		old.mu.Unlock()
+		v.Close(time.Minute)
+	}
+}
+
+// Given a disk that hangs at any change, when more is to be saved, then nothing is told until it goes on, and
+// then all of it, in order; and a close does not wait for the disk.
+func TestAHangAnywhere(t *testing.T) {
+	const saves = 14
+	for at := 1; ; at++ {
+		d := newDisk()
+		hung, on := make(chan struct{}), make(chan struct{})
+		d.before = func(n int, _ op) error {
+			if n == at {
+				close(hung)
+				<-on
+			}
+			return nil
+		}
+		var order []int
+		opened := make(chan *Vault, 1)
+		told := make(chan int, saves)
+		go func() {
+			v, _, err := open("data", d.ways())
+			if err != nil {
+				t.Error(err)
+			}
+			for i := 1; i <= saves; i++ {
+				v.Save(record(i), func(ok bool) {
+					if !ok {
+						i = -i
+					}
+					told <- i
+				})
+			}
+			opened <- v
+		}()
+		closed := false
+		for len(order) < saves {
+			select {
+			case i := <-told:
+				order = append(order, i)
+			case <-hung:
+				hung = nil
+				if len(opened) > 0 {
+					v := <-opened
+					if err := v.Close(time.Millisecond); err == nil {
+						t.Fatalf("hung at change %d: closed", at)
+					}
+					opened <- v
+					closed = true
+				}
+				close(on)
+			}
+		}
+		if hung != nil { // it may hang yet, at what goes on behind the saves
+			close(on)
+		}
+		for i, got := range order {
+			if got != i+1 {
+				t.Fatalf("hung at change %d: told %v", at, order)
+			}
+		}
+		d.mu.Lock()
+		d.before = nil
+		f, changes := holds(d.lose(0, nil), d.ways(), saves), d.n
+		d.mu.Unlock()
+		if f != "" {
+			t.Fatalf("hung at change %d: %s", at, f)
+		}
+		if v := <-opened; !closed {
+			v.Close(time.Minute)
+		}
+		if changes < at {
+			break
+		}
+	}
+}
+
+// damages opens a store of which one thing was altered, and says what is wrong: it must be told, and nothing
+// of it served; and the machine can keep what it is given next.
+func damages(d *disk, w ways) string {
+	w.fs = watched{d.MemFS, d.around}
+	v, r, err := open("data", w)
+	if err != nil {
+		return fmt.Sprint("it does not open: ", err)
+	}
+	defer v.Close(time.Minute)
+	switch {
+	case v.Damaged() == nil && number(r) < 0:
+		return fmt.Sprintf("it serves what was never saved: stamp %d, version %d", r.Stamp, r.Version)
+	case v.Damaged() != nil && !reflect.DeepEqual(r, frame.Record{}):
+		return "it is told as damaged, and served"
+	}
+	for n := 0; !v.save(record(50)); n++ { // the damage may show only now
+		if n == 3 {
+			return "it takes no more"
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return holds(d.lose(0, nil), w, 50)
+}
+
+// altered calls f with stores of which one key each has another value, or none.
+func altered(t *testing.T, f func(key string, d *disk)) {
+	d := newDisk()
+	v, _, err := open("data", d.ways())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 1; i <= 5; i++ {
+		v.save(record(i))
+	}
+	keys := map[string][]byte{}
+	i, _ := v.store.db.NewIter(nil)
+	for i.First(); i.Valid(); i.Next() {
+		keys[string(i.Key())] = bytes.Clone(i.Value())
+	}
+	i.Close()
+	v.Close(time.Minute)
+	if len(keys) < 5 {
+		t.Fatalf("%d keys", len(keys))
+	}
+	for key, value := range keys {
+		for _, drop := range []bool{false, true} {
+			left := d.lose(100, rand.New(rand.NewPCG(1, 1)))
+			db, err := pebble.Open("data/"+storeName, &pebble.Options{FS: left.MemFS, Logger: quiet{&store{}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if drop {
+				db.Delete([]byte(key), pebble.Sync)
+			} else {
+				value[len(value)/2] ^= 1
+				db.Set([]byte(key), value, pebble.Sync)
+			}
+			db.Close()
+			if !drop || key != string(keyHead) { // without a head it is an empty store
+				f(key, left)
+			}
+		}
+	}
+}
+
+// Given a store in which any one value is not as it was written, when a machine starts on it, then it is told
+// as damaged, laid aside, and nothing of it is served.
+func TestADamagedStoreIsNotServed(t *testing.T) {
+	altered(t, func(key string, d *disk) {
+		if f := damages(d, d.ways()); f != "" {
+			t.Errorf("%q: %s", key, f)
+		}
+		if _, err := d.Stat("data/" + damagedName); err != nil {
+			t.Errorf("%q: not laid aside: %v", key, err)
+		}
+	})
+}
+
+// Seeded defect: a store that is read without a look at the digests. The test above finds it.
+func TestADamagedStoreFinds(t *testing.T) {
+	found := ""
+	altered(t, func(key string, d *disk) {
+		w := d.ways()
+		w.same = func(signal.Sum, []byte) bool { return true }
+		if f := damages(d, w); f != "" {
+			found = fmt.Sprintf("%q: %s", key, f)
+		}
+	})
+	if found == "" {
+		t.Error("not found")
+	}
+	t.Log(found)
+}
+
+// Given a store of which any file is cut off, altered or gone, when a machine starts on it, then it is told as
+// damaged, or what it serves was saved once, all of it.
+func TestAFileThatIsNotAsItWasWritten(t *testing.T) {
+	d := newDisk()
+	v, _, err := open("data", d.ways())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 1; i <= 24; i++ {
+		v.save(record(i))
+	}
+	v.Close(time.Minute)
+	names, _ := d.List("data/" + storeName)
+	slices.Sort(names)
+	tried, told := 0, 0
+	for _, name := range names {
+		path := filepath.Join("data", storeName, name)
+		text, err := d.UnsafeGetFileDataBuffer(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = bytes.Clone(text)
+		for part := range 4 {
+			at := len(text) * part / 4
+			flipped := bytes.Clone(text)
+			if len(text) > 0 {
+				flipped[at] ^= 0x20
+			}
+			for what, now := range map[string][]byte{"cut off": text[:at], "altered": flipped} {
+				left := d.lose(100, rand.New(rand.NewPCG(1, 1)))
+				f, err := left.MemFS.Create(path, "")
+				if err != nil {
+					t.Fatal(err)
+				}
+				f.Write(now)
+				f.Sync()
+				f.Close()
+				if f := damages(left, left.ways()); f != "" {
+					t.Errorf("%s %s at %d of %d: %s", name, what, at, len(text), f)
+				}
+				tried++
+				if _, err := left.Stat("data/" + damagedName); err == nil {
+					told++
+				}
+			}
+		}
+	}
+	t.Logf("%d tried, %d told as damaged", tried, told)
+}
--- a/exchange/vault/snapshot.go
+++ b/exchange/vault/snapshot.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strings"
 
-	"github.com/cockroachdb/pebble/v2"
 	"github.com/gravitational/trace"
 
 	"dunespoke/exchange/frame"
@@ -41,16 +40,17 @@
 	if _, err := os.Stat(path); errors.Is(err, fs.ErrNotExist) {
 		return nil, trace.NotFound("no store in this folder")
 	}
-	db, err := pebble.Open(path, &pebble.Options{ReadOnly: true, Logger: quiet{}})
+	lock, err := onDisk.fs.Lock(filepath.Join(path, lockName))
 	if err != nil {
 		return nil, trace.CompareFailed("the store can't be opened; does its machine run? %v", err)
 	}
-	defer db.Close()
-	v := &Vault{db: db}
-	r, err := v.read()
+	defer lock.Close()
+	store, err := openStore(path, onDisk, true)
 	if err != nil {
 		return nil, trace.CompareFailed("the store can't be read: %v", err)
 	}
+	defer store.close()
+	r := store.record()
 	s := &Snapshot{Form: snapshotForm, Whole: r.Whole, Version: r.Version, Epoch: max(r.Promised, r.Epoch),
 		Chain: r.Chain, Digest: digest(r.Config), Config: string(r.Config)}
 	for _, m := range r.Registry {
--- /dev/null
+++ b/exchange/vault/store.go
@@ -0,0 +1,340 @@
+package vault
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"io/fs"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/gravitational/trace"
+
+	"dunespoke/exchange/frame"
+	"dunespoke/exchange/signal"
+)
+
+// ErrDamaged tells of a store that is not as it was written.
+var ErrDamaged = errors.New("vault: the store is not as it was written")
+
+// Errors of a disk.
+var (
+	errRefused = errors.New("vault: the disk refuses a change; it is tried again")
+	errBroken  = errors.New("vault: the store can't go on")
+)
+
+// errForm tells of a store of the form that there was before records had digests.
+var errForm = errors.New("vault: the store is of an earlier form")
+
+// Keys of the store. The head tells the digests of the list of ranges and of the numbers taken, and that list
+// those of the ranges, so that what is read is what was written together, or is told as damaged.
+var (
+	keyHead   = []byte("head")   // the digest of what follows, and a head
+	keyRanges = []byte("ranges") // the digests of the configuration's ranges, in order
+	keyPast   = []byte("past")   // the numbers taken last
+	keyRange  = "range/"         // and a digest: that range
+)
+
+// head is a record as it is written, without the configuration and the numbers taken.
+type head struct {
+	Whole    bool             `pb:"1"`
+	Registry []signal.Machine `pb:"2"`
+	Promised uint64           `pb:"3"`
+	Epoch    uint64           `pb:"4"`
+	Chain    []string         `pb:"5"`
+	Version  uint64           `pb:"6"`
+	Pledged  uint64           `pb:"7"` // of a first start
+	Ballot   uint64           `pb:"8"`
+	Draft    []signal.Machine `pb:"9"`
+	Stamp    uint64           `pb:"10"` // epoch under which the configuration was accepted
+	Ranges   []byte           `pb:"11"` // digest of the list of ranges
+	Past     []byte           `pb:"12"` // digest of the numbers taken
+
+	ID         uint64           `pb:"30"` // of this store
+	Generation uint64           `pb:"31"`
+	Former     []signal.Machine `pb:"32"`
+	Sure       bool             `pb:"33"` // of a first start: all that was promised in it is here
+	Seeds      []string         `pb:"34"` // of it
+}
+
+type storedPast struct {
+	Past []signal.Taken `pb:"1"`
+}
+
+// ways are how a store gets at its disk.
+type ways struct {
+	fs     vfs.FS
+	pause  func() // until a change that was refused is tried again
+	now    func() time.Time
+	memory uint64                                     // bytes of changes that are held before they become a table
+	commit func(db *pebble.DB, b *pebble.Batch) error // writes all of a batch or nothing, and syncs it
+	same   func(sum signal.Sum, text []byte) bool     // holds what was read to its digest
+}
+
+// onDisk are the ways of the program.
+var onDisk = ways{
+	fs:     vfs.Default,
+	pause:  func() { time.Sleep(100 * time.Millisecond) },
+	now:    time.Now,
+	memory: 512 << 10,
+	commit: func(db *pebble.DB, b *pebble.Batch) error { return db.Apply(b, pebble.Sync) },
+	same:   func(sum signal.Sum, text []byte) bool { return signal.SumOf(text) == sum },
+}
+
+// store is a pebble store, from its opening to the first error of the disk that can't be made up for.
+type store struct {
+	ways
+	db     *pebble.DB
+	fence  fence
+	once   sync.Once
+	broken chan struct{} // closed once the store can't go on
+	ruined atomic.Bool   // what is on the disk is not what was written
+	task   chan error    // what is under way ends here; nil: nothing
+
+	found   frame.Record                  // when it was opened, until it is asked for
+	content atomic.Pointer[frame.Content] // as it is in the store; nil: not known
+	ranges  []byte
+	past    signal.Sum
+}
+
+// openStore opens the store at a path, and reads the record in it. With errRefused the store comes too, and is
+// being opened yet: see wait.
+func openStore(path string, w ways, readOnly bool) (*store, error) {
+	s := &store{ways: w, broken: make(chan struct{})}
+	s.fence = fence{refused: make(chan struct{}, 1), broken: s.breaks, pause: w.pause}
+	return s, s.do(func() (err error) {
+		if s.db, err = pebble.Open(path, s.options(readOnly)); err != nil {
+			return err
+		}
+		if s.found, err = s.read(); err != nil {
+			s.db.Close()
+		}
+		return err
+	})
+}
+
+func (s *store) options(readOnly bool) *pebble.Options {
+	return &pebble.Options{FS: watched{s.fs, s.fence.around}, ReadOnly: readOnly, MemTableSize: s.memory,
+		CacheSize: 512 << 10, MaxOpenFiles: 32, Logger: quiet{s},
+		EventListener: &pebble.EventListener{
+			BackgroundError: func(error) { s.breaks() },
+			DataCorruption: func(pebble.DataCorruptionInfo) {
+				s.ruined.Store(true)
+				s.breaks()
+			},
+		}}
+}
+
+// quiet keeps pebble's own lines out of the log, and the process alive.
+type quiet struct{ s *store }
+
+func (quiet) Infof(string, ...any)  {}
+func (quiet) Errorf(string, ...any) {}
+
+// Fatalf must not return.
+func (q quiet) Fatalf(string, ...any) {
+	q.s.breaks()
+	select {}
+}
+
+// breaks notes that the store can't go on.
+func (s *store) breaks() { s.once.Do(func() { close(s.broken) }) }
+
+// do calls pebble, which may panic, and waits. Nothing may be under way.
+func (s *store) do(f func() error) error {
+	task := make(chan error, 1)
+	s.task = task
+	go func() {
+		err := errBroken
+		defer func() {
+			if p := recover(); p != nil {
+				err = trace.Wrap(errBroken, "%v", p)
+			}
+			task <- err
+		}()
+		err = f()
+	}()
+	return s.wait()
+}
+
+// wait waits for what is under way, if anything is. It returns errRefused if the disk refuses a change
+// meanwhile; the task goes on, and ends once the disk is well.
+func (s *store) wait() error {
+	if s.task == nil {
+		return nil
+	}
+	select {
+	case <-s.fence.refused: // of before
+	default:
+	}
+	select {
+	case err := <-s.task:
+		s.task = nil
+		return err
+	case <-s.fence.refused:
+		return errRefused
+	case <-s.broken:
+		return errBroken
+	}
+}
+
+// record returns what was found at the opening, once.
+func (s *store) record() frame.Record {
+	r := s.found
+	s.found = frame.Record{}
+	return r
+}
+
+// giveUp keeps the store off the disk, and lets go of what it held.
+func (s *store) giveUp() {
+	s.fence.shut()
+	s.content.Store(nil)
+}
+
+// damaged reports whether an error tells that what is on the disk is not what was written there, as opposed to
+// a disk that can't be read or written now.
+func damaged(err error) bool {
+	return err != nil && (errors.Is(err, ErrDamaged) || pebble.IsCorruptionError(err) ||
+		errors.Is(err, fs.ErrNotExist) || strings.Contains(err.Error(), "object size mismatch"))
+}
+
+func (s *store) get(key []byte) ([]byte, error) {
+	b, closer, err := s.db.Get(key)
+	if err != nil {
+		return nil, err
+	}
+	defer closer.Close()
+	return bytes.Clone(b), nil
+}
+
+// part reads what is under a key, and holds it to its digest.
+func (s *store) part(key []byte, sum []byte) ([]byte, error) {
+	b, err := s.get(key)
+	switch {
+	case errors.Is(err, pebble.ErrNotFound):
+		return nil, trace.Wrap(ErrDamaged, "%x is missing", key)
+	case err != nil:
+		return nil, err
+	case len(sum) != len(signal.Sum{}) || !s.same(signal.Sum(sum), b):
+		return nil, trace.Wrap(ErrDamaged, "%x has another digest", key)
+	}
+	return b, nil
+}
+
+// read reads the record; the zero one from an empty store.
+func (s *store) read() (frame.Record, error) {
+	b, err := s.get(keyHead)
+	if errors.Is(err, pebble.ErrNotFound) {
+		if _, err = s.get([]byte("record")); errors.Is(err, pebble.ErrNotFound) {
+			return frame.Record{}, nil
+		}
+		return frame.Record{}, cmp.Or(err, errForm)
+	}
+	if err != nil {
+		return frame.Record{}, err
+	}
+	const size = len(signal.Sum{})
+	var h head
+	if len(b) < size || !s.same(signal.Sum(b[:size]), b[size:]) || signal.Decode(b[size:], &h) != nil {
+		return frame.Record{}, trace.Wrap(ErrDamaged, "the head has another digest")
+	}
+	ranges, err := s.part(keyRanges, h.Ranges)
+	if err != nil {
+		return frame.Record{}, err
+	}
+	past, err := s.part(keyPast, h.Past)
+	if err != nil {
+		return frame.Record{}, err
+	}
+	var p storedPast
+	if signal.Decode(past, &p) != nil {
+		return frame.Record{}, trace.Wrap(ErrDamaged, "the numbers taken")
+	}
+	var config []byte
+	for sum := range slices.Chunk(ranges, size) {
+		part, err := s.part(rangeKey(sum), sum)
+		if err != nil {
+			return frame.Record{}, err
+		}
+		config = append(config, part...)
+	}
+	c := frame.Content{Stamp: h.Stamp, Version: h.Version, Config: slices.Clip(config), Past: p.Past}
+	s.content.Store(&c)
+	s.ranges, s.past = ranges, signal.Sum(h.Past)
+	return frame.Record{Whole: h.Whole, Registry: h.Registry, Promised: h.Promised, Epoch: h.Epoch,
+		Chain: h.Chain, Content: c, ID: h.ID, Generation: h.Generation, Former: h.Former,
+		Founding: frame.Founding{Sure: h.Sure, Seeds: h.Seeds, Pledged: h.Pledged, Ballot: h.Ballot,
+			Draft: h.Draft}}, nil
+}
+
+func rangeKey(sum []byte) []byte { return append([]byte(keyRange), sum...) }
+
+// write writes a record and syncs it: what differs from the one that is there, in one batch. After an error
+// it is unknown whether the record is there; unless that is errRefused, the store is to be given up.
+func (s *store) write(r frame.Record) error { return s.do(func() error { return s.change(r) }) }
+
+func (s *store) change(r frame.Record) error {
+	b := s.db.NewBatch()
+	defer b.Close()
+	var failed error
+	set := func(key, value []byte) { failed = errors.Join(failed, b.Set(key, value, nil)) }
+	ranges, past, there := s.ranges, s.past, s.content.Load()
+	if there == nil || !bytes.Equal(r.Config, there.Config) {
+		ranges = s.setRanges(b, r.Config, set)
+	}
+	if there == nil || !slices.EqualFunc(r.Past, there.Past, signal.Taken.Equal) {
+		text := signal.Encode(nil, &storedPast{r.Past})
+		past = signal.SumOf(text)
+		set(keyPast, text)
+	}
+	list := signal.SumOf(ranges)
+	text := signal.Encode(nil, &head{Whole: r.Whole, Registry: r.Registry, Promised: r.Promised, Epoch: r.Epoch,
+		Chain: r.Chain, Version: r.Version, Pledged: r.Founding.Pledged, Ballot: r.Founding.Ballot,
+		Draft: r.Founding.Draft, Stamp: r.Stamp, Ranges: list[:], Past: past[:], ID: r.ID,
+		Generation: r.Generation, Former: r.Former, Sure: r.Founding.Sure, Seeds: r.Founding.Seeds})
+	sum := signal.SumOf(text)
+	set(keyHead, append(sum[:], text...))
+	if failed != nil {
+		return trace.Wrap(failed)
+	}
+	if err := s.commit(s.db, b); err != nil {
+		return trace.Wrap(err)
+	}
+	s.content.Store(&r.Content)
+	s.ranges, s.past = ranges, past
+	return nil
+}
+
+// setRanges writes the ranges of a configuration that are not there, and removes those that it has no more.
+func (s *store) setRanges(b *pebble.Batch, config []byte, set func(key, value []byte)) []byte {
+	const size = len(signal.Sum{})
+	gone := map[string]bool{}
+	for sum := range slices.Chunk(s.ranges, size) {
+		gone[string(sum)] = true
+	}
+	list, there := []byte{}, map[string]bool{}
+	signal.Ranges(config, func(part []byte) {
+		sum := signal.SumOf(part)
+		list = append(list, sum[:]...)
+		key := string(sum[:])
+		if !gone[key] && !there[key] {
+			set(rangeKey(sum[:]), part)
+		}
+		there[key] = true
+	})
+	for sum := range gone {
+		if !there[sum] {
+			b.Delete(rangeKey([]byte(sum)), nil)
+		}
+	}
+	set(keyRanges, list)
+	return list
+}
+
+// close closes the store.
+func (s *store) close() error { return s.do(s.db.Close) }
--- a/exchange/vault/vault.go
+++ b/exchange/vault/vault.go
@@ -1,66 +1,52 @@
 // Package vault keeps a frame's record on disk, in a pebble store. Saves are done in order by one goroutine,
-// each synced before it is told as done.
+// each synced before it is told as done. A disk that refuses something ends neither the process nor the
+// vault: the save is told as failed, and goes on when the disk is well, before the next.
 package vault
 
 import (
-	"bytes"
 	"errors"
+	"io"
+	"io/fs"
 	"path/filepath"
-	"slices"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/pebble/v2"
 	"github.com/gravitational/trace"
 
 	"dunespoke/exchange/frame"
-	"dunespoke/exchange/signal"
 )
 
+// errResting tells that a store was given up a moment ago.
+var errResting = errors.New("vault: the store was given up a moment ago")
+
 // closeWait is how long a store that nobody serves from may take to close.
 const closeWait = 10 * time.Second
 
-// Keys of the store.
-var (
-	keyRecord = []byte("record")
-	keyConfig = []byte("config")
-	keyPast   = []byte("past")
+// Names in the folder: of the store, and of one that was found damaged, until another is.
+const (
+	storeName   = "vault"
+	damagedName = "vault.damaged"
+	lockName    = "LOCK" // in the store's folder
 )
 
-// stored is a record as it is written, without the configuration and the numbers taken, which stand under
-// keys of their own.
-type stored struct {
-	Whole    bool             `pb:"1"`
-	Registry []signal.Machine `pb:"2"`
-	Promised uint64           `pb:"3"`
-	Epoch    uint64           `pb:"4"`
-	Chain    []string         `pb:"5"`
-	Version  uint64           `pb:"6"`
-	Pledged  uint64           `pb:"7"` // of a first start
-	Ballot   uint64           `pb:"8"`
-	Draft    []signal.Machine `pb:"9"`
-	Stamp    uint64           `pb:"10"` // epoch under which the configuration was accepted
-
-	ID         uint64           `pb:"30"` // of this store
-	Generation uint64           `pb:"31"`
-	Former     []signal.Machine `pb:"32"`
-	Sure       bool             `pb:"33"` // of a first start: all that was promised in it is here
-	Seeds      []string         `pb:"34"` // of it
-}
-
-type storedConfig struct {
-	Version uint64 `pb:"1"`
-	Config  []byte `pb:"2"`
-}
-
-type storedPast struct {
-	Past []signal.Taken `pb:"1"`
-}
+// backOff is how long a store that was given up is left alone, the first time: what still runs of it takes
+// memory, a megabyte or two. The time doubles up to backOffMost.
+const (
+	backOff     = 500 * time.Millisecond
+	backOffMost = 30 * time.Second
+)
 
-// Vault is a store.
+// Vault is a store that is opened again after what the disk did to it.
 type Vault struct {
-	db      *pebble.DB
+	ways    ways
 	dir     string
-	written frame.Content // as it is in the store
+	lock    io.Closer
+	store   *store // nil: given up
+	rest    time.Duration
+	until   time.Time // it is left alone
+	damaged error
+	ruined  bool // what was given up can't be opened again
 	jobs    chan job
 	done    chan struct{}
 }
@@ -70,110 +56,221 @@
 	then   func(ok bool)
 }
 
-// quiet keeps pebble's own lines out of the log.
-type quiet struct{}
-
-func (quiet) Infof(string, ...any)  {}
-func (quiet) Errorf(string, ...any) {}
-func (quiet) Fatalf(string, ...any) { panic("vault: the store can't go on") }
+// Open opens the store in a folder, and reads the record in it; an empty store gives the zero Record. So does
+// one that is damaged: it is laid aside, see Damaged. A store that can be read and not written gives its
+// record, and saves fail until it can be.
+func Open(dir string) (*Vault, frame.Record, error) { return open(dir, onDisk) }
 
-// Open opens the store in a folder, and reads the record in it; an empty store gives the zero Record.
-func Open(dir string) (*Vault, frame.Record, error) {
-	opts := &pebble.Options{MemTableSize: 512 << 10, Cache: pebble.NewCache(512 << 10), MaxOpenFiles: 32,
-		Logger: quiet{}, DisableAutomaticCompactions: false, WALBytesPerSync: 0}
-	db, err := pebble.Open(filepath.Join(dir, "vault"), opts)
+func open(dir string, w ways) (*Vault, frame.Record, error) {
+	v := &Vault{ways: w, dir: dir, rest: backOff, jobs: make(chan job, 256), done: make(chan struct{})}
+	r, err := v.begin()
 	if err != nil {
+		v.release()
 		return nil, frame.Record{}, trace.ConvertSystemError(err)
 	}
-	v := &Vault{db: db, dir: dir, jobs: make(chan job, 256), done: make(chan struct{})}
-	r, err := v.read()
-	if err != nil {
-		db.Close()
-		return nil, r, err
-	}
 	go v.run()
 	return v, r, nil
 }
 
-func (v *Vault) get(key []byte, into any) error {
-	b, closer, err := v.db.Get(key)
-	if errors.Is(err, pebble.ErrNotFound) {
+// begin opens the store for the first time.
+func (v *Vault) begin() (frame.Record, error) {
+	if err := v.hold(); refusal(err) {
+		return v.look(nil)
+	} else if err != nil {
+		return frame.Record{}, err
+	}
+	s, err := openStore(v.path(), v.ways, false)
+	switch {
+	case err == nil:
+		v.store = s
+		return s.record(), nil
+	case damaged(err):
+		v.damaged = err
+		s.giveUp()
+		err = v.renew()
+		if err != nil && !errors.Is(err, errRefused) {
+			v.giveUp() // it is tried again with the first save
+		}
+		return frame.Record{}, nil
+	case errors.Is(err, errRefused):
+		v.store = s
+		return v.look(s)
+	case errors.Is(err, errBroken):
+		v.store = s
+		v.giveUp()
+		return v.look(nil)
+	}
+	return frame.Record{}, err
+}
+
+// look reads the record of a store that can't be opened for writing now, while one that is being opened
+// stands still.
+func (v *Vault) look(opening *store) (frame.Record, error) {
+	if opening != nil {
+		opening.fence.mu.Lock()
+		defer opening.fence.mu.Unlock()
+	}
+	if _, err := v.ways.fs.Stat(v.path()); errors.Is(err, fs.ErrNotExist) {
+		return frame.Record{}, nil
+	}
+	s, err := openStore(v.path(), v.ways, true)
+	switch {
+	case err == nil:
+		return s.record(), s.close()
+	case errors.Is(err, pebble.ErrDBDoesNotExist): // it was never opened to the end
+		return frame.Record{}, nil
+	case damaged(err):
+		v.damaged = err
+		return frame.Record{}, nil
+	}
+	return frame.Record{}, err
+}
+
+func (v *Vault) path() string { return filepath.Join(v.dir, storeName) }
+
+// Damaged tells why the store that Open found could not be read whole, so that the machine has to be mended as
+// after the loss of its disk; nil if it could.
+func (v *Vault) Damaged() error { return v.damaged }
+
+// hold takes the folder's lock.
+func (v *Vault) hold() error {
+	if v.lock != nil {
 		return nil
 	}
-	if err != nil {
-		return trace.Wrap(err)
+	err := v.ways.fs.MkdirAll(v.path(), 0o755)
+	if err == nil {
+		v.lock, err = v.ways.fs.Lock(filepath.Join(v.path(), lockName))
 	}
-	defer closer.Close()
-	return trace.Wrap(signal.Decode(b, into))
+	return err
 }
 
-func (v *Vault) read() (frame.Record, error) {
-	var s stored
-	var c storedConfig
-	if err := v.get(keyRecord, &s); err != nil {
-		return frame.Record{}, trace.Wrap(err, "record")
-	}
-	if err := v.get(keyConfig, &c); err != nil {
-		return frame.Record{}, trace.Wrap(err, "configuration")
-	}
-	var p storedPast
-	if err := v.get(keyPast, &p); err != nil {
-		return frame.Record{}, trace.Wrap(err, "numbers taken")
-	}
-	v.written = frame.Content{Stamp: s.Stamp, Version: c.Version, Config: c.Config, Past: p.Past}
-	return frame.Record{Whole: s.Whole, Registry: s.Registry, Promised: s.Promised, Epoch: s.Epoch,
-		Chain: s.Chain, Content: v.written,
-		ID: s.ID, Generation: s.Generation, Former: s.Former,
-		Founding: frame.Founding{Sure: s.Sure, Seeds: s.Seeds, Pledged: s.Pledged, Ballot: s.Ballot,
-			Draft: s.Draft}}, nil
+// refusal reports whether an error tells that the disk takes nothing now.
+func refusal(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EIO) ||
+		errors.Is(err, syscall.EROFS)
 }
 
-// Save writes a record and syncs it, and then calls then, on the vault's goroutine. It does not block, unless
-// hundreds of saves wait.
+func (v *Vault) release() {
+	if v.lock != nil {
+		v.lock.Close()
+		v.lock = nil
+	}
+}
+
+// renew lays a damaged store aside, and opens an empty one in its place.
+func (v *Vault) renew() error {
+	disk, aside := v.ways.fs, filepath.Join(v.dir, damagedName)
+	v.release()
+	if err := disk.RemoveAll(aside); err != nil {
+		return err
+	}
+	if err := disk.Rename(v.path(), aside); err != nil && disk.RemoveAll(v.path()) != nil {
+		return err
+	}
+	v.ruined = false
+	return v.reopen()
+}
+
+func (v *Vault) reopen() error {
+	if err := v.hold(); err != nil {
+		return err
+	}
+	var err error
+	v.store, err = openStore(v.path(), v.ways, false)
+	return err
+}
+
+// Save writes a record and syncs it, and then calls then, on the vault's goroutine. After a failed save it is
+// unknown which of the two records is on the disk. It does not block, unless hundreds of saves wait.
 func (v *Vault) Save(r frame.Record, then func(ok bool)) { v.jobs <- job{r, then} }
 
 func (v *Vault) run() {
 	defer close(v.done)
-	for j := range v.jobs {
-		j.then(v.write(j.record) == nil)
+	for {
+		var broken chan struct{}
+		if v.store != nil {
+			broken = v.store.broken
+		}
+		select {
+		case <-broken:
+			v.giveUp()
+		case j, more := <-v.jobs:
+			if !more {
+				return
+			}
+			j.then(v.write(j.record) == nil)
+		}
 	}
 }
 
+// giveUp leaves a store to itself, if there is one, for a while.
+func (v *Vault) giveUp() {
+	if v.store != nil {
+		v.store.giveUp()
+		v.ruined = v.store.ruined.Load()
+		v.store = nil
+	}
+	v.until = v.ways.now().Add(v.rest)
+	v.rest = min(2*v.rest, backOffMost)
+}
+
+// write writes a record, in order behind what the disk has refused so far.
 func (v *Vault) write(r frame.Record) error {
-	b := v.db.NewBatch()
-	defer b.Close()
-	s := stored{Whole: r.Whole, Registry: r.Registry, Promised: r.Promised, Epoch: r.Epoch, Chain: r.Chain,
-		Version: r.Version, Pledged: r.Founding.Pledged, Ballot: r.Founding.Ballot, Draft: r.Founding.Draft,
-		Stamp: r.Stamp, ID: r.ID, Generation: r.Generation, Former: r.Former, Sure: r.Founding.Sure,
-		Seeds: r.Founding.Seeds}
-	if err := b.Set(keyRecord, signal.Encode(nil, &s), nil); err != nil {
-		return trace.Wrap(err)
+	err := v.opened()
+	if err == nil {
+		err = v.store.write(r)
 	}
-	if r.Version != v.written.Version || !bytes.Equal(r.Config, v.written.Config) {
-		c := storedConfig{r.Version, r.Config}
-		if err := b.Set(keyConfig, signal.Encode(nil, &c), nil); err != nil {
-			return trace.Wrap(err)
-		}
+	if err != nil && !errors.Is(err, errRefused) && !errors.Is(err, errResting) {
+		v.giveUp()
 	}
-	if !slices.EqualFunc(r.Past, v.written.Past, signal.Taken.Equal) {
-		if err := b.Set(keyPast, signal.Encode(nil, &storedPast{r.Past}), nil); err != nil {
-			return trace.Wrap(err)
+	return err
+}
+
+// opened waits for the store to be free. One that was given up is opened again; one that is damaged by now is
+// made anew: the record to be saved has all that is to be in it.
+func (v *Vault) opened() error {
+	var err error
+	switch {
+	case v.store != nil:
+		err = v.store.wait()
+	case v.ways.now().Before(v.until):
+		return errResting
+	case v.ruined:
+		err = ErrDamaged
+	default:
+		err = v.reopen()
+	}
+	if damaged(err) {
+		if v.store != nil {
+			v.store.giveUp()
 		}
+		err = v.renew()
 	}
-	if err := b.Commit(pebble.Sync); err != nil {
-		return trace.Wrap(err)
+	if err == nil {
+		v.store.record() // the one to be saved is newer
 	}
-	v.written = r.Content
-	return nil
+	return err
 }
 
 // Close ends the saves under way and closes the store. A disk that hangs is not waited for longer than the
 // limit.
 func (v *Vault) Close(limit time.Duration) error {
 	close(v.jobs)
+	closed := make(chan error, 1)
+	go func() {
+		<-v.done
+		var err error
+		if v.store != nil {
+			if err = v.store.wait(); err == nil {
+				err = v.store.close()
+			}
+		}
+		v.release()
+		closed <- err
+	}()
 	select {
-	case <-v.done:
-		return trace.Wrap(v.db.Close())
+	case err := <-closed:
+		return trace.Wrap(err)
 	case <-time.After(limit):
 		return trace.LimitExceeded("vault: the disk does not answer")
 	}
