Let a probe see messages and work in the rehearsal; read usage of processes in one place

Cause: docs/CAPACITY.md needs bytes by purpose and processor time by role, and the rehearsal counted messages and bytes alone; reading /proc stood in dunelab's streaming command, where nothing else could use it. Change: Options.Probe is told of each message and runs each piece of a machine's work (what comes is decoded within it, as it is a part of that work); Options.Text gives configurations of any size; a machine that starts anew knows no members, as a process does. internal/lab/usage reads processor time and memory of a process; rig.Start starts one that does not outlive its starter.

--- a/cmd/dunelab/streaming.go
+++ b/cmd/dunelab/streaming.go
@@ -11,13 +11,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
 	"dunespoke/internal/lab/origin"
 	"dunespoke/internal/lab/unlike"
+	"dunespoke/internal/lab/usage"
 )
 
 type originCommand struct {
@@ -212,27 +212,10 @@
 }
 
 // cpu is the processor time that the program has used.
-func (p *process) cpu() time.Duration {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
-	ticks := 0
-	for _, f := range fields[11:13] {
-		n, _ := strconv.Atoi(f)
-		ticks += n
-	}
-	return time.Duration(ticks) * 10 * time.Millisecond
-}
+func (p *process) cpu() time.Duration { return usage.CPU(p.cmd.Process.Pid) }
 
 // resident is the program's memory, in MB.
-func (p *process) resident() float64 {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	_, rest, _ := strings.Cut(string(text), "VmRSS:")
-	kb, _ := strconv.Atoi(strings.Fields(rest + " 0")[0])
-	return float64(kb) / 1024
-}
+func (p *process) resident() float64 { return usage.Resident(p.cmd.Process.Pid) }
 
 // memory measures resident memory with transfers at once, half up and half down.
 func (c *streamingCommand) memory(ctx context.Context, all []starter) error {
--- a/exchange/rehearsal/rehearsal.go
+++ b/exchange/rehearsal/rehearsal.go
@@ -29,7 +29,18 @@
 	Sync    time.Duration // of a disk
 	Trace   func(line string)
 	// Wire says what becomes of a message on its way between two machines; nil: it comes once.
-	Wire func(from, to string, m *signal.Message) []Delivery
+	Wire  func(from, to string, m *signal.Message) []Delivery
+	Probe Probe                       // may be nil
+	Text  func(version uint64) []byte // of the configurations that are sent; nil: short ones
+}
+
+// Probe measures what machines do.
+type Probe interface {
+	// Sent is told of each message from one machine's address to another, and of its bytes without the frame.
+	Sent(from, to string, m *signal.Message, size int)
+	// Run runs a piece of the work of the machine at an address: it calls do, once. What comes is decoded in the
+	// midst of the sender's work, and is the receiver's.
+	Run(addr string, do func())
 }
 
 // Machine is one machine of the exchange.
@@ -238,7 +249,7 @@
 	}
 	m.up, m.frozen = true, false
 	m.life++
-	m.version, m.config, m.servers, m.epoch = 0, "", nil, 0
+	m.version, m.config, m.servers, m.members, m.epoch = 0, "", nil, 0, 0
 	m.saved = 0
 	m.x.lives++
 	m.own = 1<<61 + m.x.lives // as long as the program's numbers are
@@ -292,6 +303,9 @@
 // Up reports whether a machine's process runs.
 func (m *Machine) Up() bool { return m.up }
 
+// Addr is the machine's address.
+func (m *Machine) Addr() string { return m.self.Addr }
+
 // Version is that of the configuration in force.
 func (m *Machine) Version() uint64 { return m.version }
 
@@ -308,13 +322,22 @@
 	case m.frozen:
 		m.held = append(m.held, func() { m.act(life, f) })
 	default:
-		f()
+		m.x.run(m.self.Addr, f)
 		if m.up && m.life == life {
 			m.wake(0)
 		}
 	}
 }
 
+// run has the machine at an address do something, under the eyes of the probe.
+func (x *Exchange) run(addr string, do func()) {
+	if x.Probe == nil {
+		do()
+		return
+	}
+	x.Probe.Run(addr, do)
+}
+
 // wake has the machine look after what is due, at once and then when it wants.
 func (m *Machine) wake(after time.Duration) {
 	m.tick++
@@ -323,7 +346,8 @@
 		if !m.up || m.life != life || m.tick != tick || m.frozen {
 			return
 		}
-		next := m.office.Tick(m.x.Now)
+		var next time.Duration
+		m.x.run(m.self.Addr, func() { next = m.office.Tick(m.x.Now) })
 		if m.tick == tick {
 			m.wake(max(next-m.x.Now, time.Millisecond))
 		}
@@ -368,6 +392,9 @@
 
 // Put sends a configuration to a machine, which answers or not. Its text is the same for each number.
 func (x *Exchange) Put(m *Machine, version uint64) *Call {
+	if x.Text != nil {
+		return x.PutText(m, version, string(x.Text(version)))
+	}
 	return x.PutText(m, version, fmt.Sprintf("r%d", version))
 }
 
@@ -462,11 +489,16 @@
 	}
 	b := signal.Encode(nil, m)
 	x.Messages, x.Bytes = x.Messages+1, x.Bytes+len(b)
+	if x.Probe != nil {
+		x.Probe.Sent(from, to, m, len(b))
+	}
 	if x.cuts[[2]string{from, to}] {
 		return
 	}
 	copied := new(signal.Message)
-	if err := signal.Decode(b, copied); err != nil {
+	var err error
+	x.run(to, func() { err = signal.Decode(b, copied) })
+	if err != nil {
 		x.breaks("%s sent what can't be read: %v", a.m.Name, err)
 		return
 	}
--- a/internal/lab/rig/process.go
+++ b/internal/lab/rig/process.go
@@ -33,6 +33,9 @@
 	return <-done
 }
 
+// Start starts a program that the kernel kills as soon as this process is gone, whatever ended it.
+func Start(cmd *exec.Cmd) error { return processes().start(cmd) }
+
 // Build builds one of the project's commands into a folder, as the source is now.
 func Build(dir, command string) (string, error) {
 	path := filepath.Join(dir, command)
@@ -64,7 +67,7 @@
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.Env = append([]string{"TMPDIR=" + tmp, "PATH=" + os.Getenv("PATH"),
 		"LB_CONFIG=" + filepath.Join(dir, name+".json")}, env...)
-	if err := processes().start(cmd); err != nil {
+	if err := Start(cmd); err != nil {
 		return nil, fmt.Errorf("ingress %s: %w", name, err)
 	}
 	p := &process{cmd, make(chan struct{})}
