Measure how control's costs grow with the size: dunelab scale

Cause: nothing made the slopes again that docs/CAPACITY.md is to stand on. Change: dunelab scale plays exchanges of 15 to 1,000 machines in virtual time (rest, a change of a route, a restart, a change of the list, a join of all, a region cut off), times single operations up to the whole size, and runs hollow control sides beside real processes over loopback lines. A run is bounded in processes, time and memory.

--- a/cmd/dunelab/graph.go
+++ b/cmd/dunelab/graph.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"slices"
+
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
@@ -10,6 +12,7 @@
 // graph is a plot of lines.
 type graph struct {
 	title, x, y string
+	log         bool // both axes are logarithmic: only values above 0 are drawn
 	lines       []*graphLine
 }
 
@@ -32,9 +35,20 @@
 func (g *graph) save(path string) error {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = g.title, g.x, g.y
-	p.Y.Min = 0
 	p.Legend.Top, p.Legend.Left = true, true
+	if g.log {
+		p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+		p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	} else {
+		p.Y.Min = 0
+	}
 	for i, l := range g.lines {
+		if g.log {
+			l.points = slices.DeleteFunc(l.points, func(p plotter.XY) bool { return p.X <= 0 || p.Y <= 0 })
+		}
+		if len(l.points) == 0 {
+			continue
+		}
 		line, err := plotter.NewLine(l.points)
 		if err != nil {
 			return err
--- a/cmd/dunelab/main.go
+++ b/cmd/dunelab/main.go
@@ -36,6 +36,7 @@
 	Streaming streamingCommand `cmd:"" help:"Measure the streaming front beside ReverseProxy."`
 	Payday    paydayCommand    `cmd:"" help:"Measure introspection on a payday."`
 	Exchange  exchangeCommand  `cmd:"" help:"Time changes of the configuration in virtual time, with faults."`
+	Scale     scaleCommand     `cmd:"" help:"Measure how what control costs grows with the size of an exchange."`
 	Decide    decideCommand    `cmd:"" help:"Time decisions in common in virtual time, at large size."`
 	Fleet     fleetCommand     `cmd:"" help:"Play a fleet of the program, with faults between processes."`
 }
--- /dev/null
+++ b/internal/lab/scale/scale_test.go
@@ -0,0 +1,165 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"dunespoke/exchange/signal"
+)
+
+func TestSlopes(t *testing.T) {
+	var rows []Row
+	for _, n := range []float64{300, 15, 84} { // in any order
+		rows = append(rows, Row{Case: "square", By: "machines", Size: n, Value: 2 * n * n},
+			Row{Case: "flat", By: "machines", Size: n, Value: 7},
+			Row{Case: "late", By: "machines", Size: n, Value: max(100, n)})
+	}
+	all := Slopes(rows)
+	if len(all) != 3 || !slices.Equal(all[0].Sizes, []float64{15, 84, 300}) {
+		t.Fatalf("%+v", all)
+	}
+	for i, want := range []struct{ power, each, at float64 }{{2, 768, 2e6}, {0, 0, 7}, {0.346, 0.926, 848}} {
+		s := all[i]
+		if math.Abs(s.Power-want.power) > 1e-3 || math.Abs(s.Each-want.each) > 1e-3 ||
+			math.Abs(s.At(1000)-want.at) > 1 {
+			t.Errorf("%s: power %v, each %v, at 1,000 %v, want %+v", s.Case, s.Power, s.Each, s.At(1000), want)
+		}
+	}
+}
+
+// Given messages with all that is long in them, when their bytes are split, then each part is due to its
+// cause, and all of them together are the message.
+func TestBytesAreSplitByCause(t *testing.T) {
+	made := Made{Routes: 20, Services: 3, Servers: 40, Zones: 2}
+	members := []signal.Machine{{Addr: "10.0.0.1:7", Zone: "z1", Age: 300}, {Addr: "10.0.0.2:7", Zone: "z1"}}
+	list := &signal.List{Epoch: 65, Seq: 3, Servers: made.List(0)}
+	for _, c := range []struct {
+		m    signal.Message
+		want []string
+	}{
+		{signal.Message{Kind: signal.Beat, OK: true, List: &signal.List{Epoch: 65, Seq: 3}}, []string{Beats}},
+		{signal.Message{Kind: signal.Beat, Members: members}, []string{Beats, Members}},
+		{signal.Message{Kind: signal.News, Call: 9, OK: true, Epoch: 65, Chain: []string{"10.0.0.1:7"},
+			Registry: members, Version: 2, Config: signal.Pack(made.Config(2), 1, made.Config(1)), List: list,
+			Members: members, Roster: 5}, []string{Members, Servers, Configuration, Polls, Views}},
+		{signal.Message{Kind: signal.Install, Chain: []string{"10.0.0.1:7"},
+			Config: signal.Pack(made.Config(1), 0, nil)}, []string{Configuration, Views}},
+		{signal.Message{Kind: signal.Lineup, List: list}, []string{Servers}},
+		{signal.Message{Kind: 1 << 20, Call: 1}, []string{Other}},
+	} {
+		size := length(&c.m)
+		split := parts(&c.m, size)
+		if !whole(split, size, c.want) {
+			t.Errorf("kind %d: %v of %d bytes, want causes %v", c.m.Kind, split, size, c.want)
+		}
+		// Seeded: bytes that are counted twice, and some that are due to nothing.
+		split[c.want[0]]++
+		if whole(split, size, c.want) {
+			t.Errorf("kind %d: a byte too many is not found", c.m.Kind)
+		}
+		delete(split, c.want[0])
+		if whole(split, size, c.want) {
+			t.Errorf("kind %d: a missing cause is not found", c.m.Kind)
+		}
+	}
+}
+
+// whole reports whether a message's bytes are due to the wanted causes, in their order, each byte once.
+func whole(split map[string]int, size int, want []string) bool {
+	total := 0
+	var got []string
+	for _, cause := range []string{Beats, Members, Servers, Configuration, Polls, Tolls, Views, Starts, Other} {
+		if split[cause] > 0 {
+			got = append(got, cause)
+		}
+		total += split[cause]
+	}
+	return total == size && slices.Equal(got, want)
+}
+
+// Every kind that asks, answers or tells has a cause.
+func TestEveryKindHasACause(t *testing.T) {
+	kinds := []signal.Kind{signal.Ringing, signal.Beat, signal.Active, signal.Relay, signal.Lineup, signal.Learn,
+		signal.Learned, signal.Notice}
+	for question, answers := range signal.Questions {
+		kinds = append(append(kinds, question), answers...)
+	}
+	for _, k := range kinds {
+		if causes[k] == "" {
+			t.Errorf("kind %d has no cause", k)
+		}
+	}
+}
+
+// played plays small exchanges and returns what was told but for times, which are this machine's.
+func played(t *testing.T, v Virtual) map[string][]float64 {
+	t.Helper()
+	var rows []Row
+	if err := v.Run(t.Context(), func(r Row) {
+		if r.What != "processor" && r.What != "memory" {
+			rows = append(rows, r)
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+	all := map[string][]float64{}
+	for _, s := range Slopes(rows) {
+		if s.Cause == Other {
+			t.Errorf("%s: %s messages of a kind that has no cause", s.Case, s.Role)
+		}
+		all[s.Case+" "+s.Role+" "+s.What+" "+s.Cause+" "+s.Unit] = s.Values
+	}
+	return all
+}
+
+// Given exchanges of two sizes, when the list of servers changes by one, then each ingress gets the whole of
+// it, and a core machine sends it as often as it has ingresses; when a process is started again, each gets
+// all members twice: once without it and once with it.
+func TestWhatEventsCostInVirtualTime(t *testing.T) {
+	v := Virtual{Core: 3, Machines: []int{9, 27}, Made: Made{Routes: 30, Services: 3, Servers: 60}, Seed: 1}
+	got := played(t, v)
+	v.Made.Zones = 3
+	list := length(&signal.Message{List: &signal.List{Epoch: 64, Seq: 9, Servers: v.Made.List(1)}})
+	near := func(what string, want ...float64) {
+		t.Helper()
+		if len(got[what]) != len(want) {
+			t.Errorf("%s: %v, want %v", what, got[what], want)
+			return
+		}
+		for i := range want {
+			if math.Abs(got[what][i]-want[i]) > want[i]*0.15 {
+				t.Errorf("%s: %v, want some %v", what, got[what], want)
+			}
+		}
+	}
+	l := float64(list)
+	near("list ingress got servers B", l, l)
+	near("list middle sent servers B", 2*l, 8*l)
+	near("cut ingress that know of it  part", 1, 1)
+	if all := got["cut ingress, cut off that know of it  part"]; !slices.Equal(all, []float64{0, 0}) {
+		t.Errorf("machines that are cut off hear of changes: %v", all)
+	}
+	row := float64(length(&signal.Message{Members: []signal.Machine{{Addr: "10.1.0.1:7", Zone: "z1"}}}))
+	near("restart ingress got members B", 2*9*row, 2*27*row)
+}
+
+// Given a run that would need more than it may have, when it is begun, then it ends at once and says so.
+func TestRunsAreBounded(t *testing.T) {
+	big := Virtual{Core: 7, Machines: []int{5400}, Made: Made{Routes: 14000, Servers: 47000}, Memory: 16000}
+	if err := big.Run(t.Context(), func(Row) {}); !errors.Is(err, errMemory) {
+		t.Errorf("in virtual time: %v", err)
+	}
+	r := &lineRun{Lines: Lines{Memory: 1}, ctx: t.Context()}
+	if err := r.pause(time.Second); !errors.Is(err, errMemory) {
+		t.Errorf("on lines: %v", err)
+	}
+	for _, l := range []Lines{{Hollow: mostHollow + 1, Real: 1}, {Hollow: 1, Real: 1, For: 2 * mostFor}} {
+		if err := l.Run(context.Background(), func(Row) {}); err == nil {
+			t.Errorf("%+v: begun", l)
+		}
+	}
+}
