Count contact with a peer from when it spoke, not from when its beat was read

Cause: a machine was fresh as long as beats came, whenever they had been sent. One that heard the others three seconds late told news under epoch 64 for 3.6 s although 129 was in service; the same holds for what waited in a socket while a process stood still. Change: a beat names the last one of its receiver that the sender had, and for how long it had had that. So the receiver knows by its own clock when the peer spoke, or a little earlier. Contact counts from there, for 0.75 s; a beat that is older than the silence that counts as death makes nobody live; ages of leases grow by the way.

--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -113,7 +113,7 @@
 
 	peers     map[string]*peer
 	beatAt    time.Duration
-	beats     int
+	beatsSent beatTimes
 	chain     []string // of the view that serves, as far as known
 	epoch     uint64
 	wish      []string // for another view
@@ -155,6 +155,9 @@
 
 type peer struct {
 	heard, first     time.Duration // the last beat, and the first of the unbroken row
+	contact          time.Duration // when it last said what it is in, by this machine's clock; 0: not known
+	beat             uint64        // its last beat
+	beatCame         time.Duration
 	along            time.Duration // when it was last in service in the same view
 	whole, ill       bool
 	leaving, joint   bool
@@ -168,7 +171,8 @@
 	f := &Frame{Options: o, self: o.Self.Addr, now: now, rec: o.Disk, next: o.Disk, peers: map[string]*peer{},
 		asks: map[uint64]*ask{}, polls: map[string]poll{}, members: map[string]member{},
 		candidates: map[string]*candidate{}, packs: map[[2]uint64]*signal.Packed{}, beatAt: now,
-		slow: -healthyFor, epoch: o.Disk.Epoch, chain: o.Disk.Chain, wishAt: now}
+		slow: -healthyFor, epoch: o.Disk.Epoch, chain: o.Disk.Chain, wishAt: now,
+		beatsSent: beatTimes{number: o.Life % (1 << 28) << 20}}
 	f.rec.Content, f.next.Content = o.Disk.known(), o.Disk.known()
 	f.identify()
 	switch {
@@ -289,15 +293,15 @@
 	return p != nil && f.now < p.heard+deadAfter && !p.ill
 }
 
-// Fresh reports whether this machine is in service and hears a majority that is, too: what it tells is not
-// older than the time in which silence counts as death.
+// Fresh reports whether this machine is in service, and a majority was with it a moment ago: since any later
+// view needs the promises of a majority, none was in service before then, and what this one tells is not
+// older than contactFor.
 func (f *Frame) Fresh() bool {
 	if f.state != InService {
 		return false
 	}
 	return quorate(func(addr string) bool {
-		p := f.peers[addr]
-		return addr == f.self || p != nil && p.epoch == f.epoch && f.now < p.heard+deadAfter
+		return addr == f.self || f.inTouch(f.peers[addr])
 	}, f.next.voters()...)
 }
 
@@ -377,10 +381,10 @@
 
 // beat tells the others of the core how this machine is.
 func (f *Frame) beat() {
-	m := &signal.Message{Kind: signal.Beat, OK: f.rec.Whole && f.next.Whole, Ill: f.sick(), ID: f.rec.ID,
-		Generation: f.rec.Generation, Joint: len(f.rec.Former) > 0, Leaving: f.leaving,
-		List: &signal.List{Epoch: f.list.Epoch, Seq: f.list.Seq}}
-	if f.beats++; f.beats%membersEach == 0 {
+	m := signal.Message{Kind: signal.Beat, OK: f.rec.Whole && f.next.Whole, Ill: f.sick(),
+		ID: f.rec.ID, Generation: f.rec.Generation, Joint: len(f.rec.Former) > 0, Leaving: f.leaving,
+		Beat: f.beatsSent.next(f.now), List: &signal.List{Epoch: f.list.Epoch, Seq: f.list.Seq}}
+	if f.beatsSent.sent%membersEach == 0 {
 		m.Members = f.own()
 	}
 	if f.state == InService {
@@ -389,7 +393,7 @@
 	}
 	for _, r := range f.concerned() {
 		if r.Addr != f.self {
-			f.Actions.Send(r.Addr, m)
+			f.Actions.Send(r.Addr, f.echo(r.Addr, m))
 		}
 	}
 }
@@ -403,12 +407,24 @@
 		p = &peer{first: f.now}
 		f.peers[from] = p
 	}
-	if f.now > p.heard+deadAfter {
-		p.first = f.now
+	p.beat, p.beatCame = m.Beat, f.now
+	at, known := f.saidAt(m)
+	if !known {
+		at = 0
+	}
+	p.touched(m.Epoch, at)
+	late := known && f.now >= at+deadAfter // it has waited on its way, and tells how the peer was, not how it is
+	if !late {
+		if f.now > p.heard+deadAfter {
+			p.first = f.now
+		}
+		p.heard, p.whole, p.ill = f.now, m.OK, m.Ill
+		p.leaving, p.joint, p.generation = m.Leaving, m.Joint, m.Generation
 	}
-	p.heard, p.whole, p.ill, p.epoch = f.now, m.OK, m.Ill, m.Epoch
-	p.leaving, p.joint, p.generation = m.Leaving, m.Joint, m.Generation
 	for _, x := range m.Members {
+		if known {
+			x.Age += uint64((f.now - at).Milliseconds())
+		}
 		f.lease(x, false)
 	}
 	if m.List != nil {
@@ -421,7 +437,7 @@
 	case m.Epoch == f.epoch && f.state == InService:
 		f.done(&signal.Message{Epoch: m.Epoch, Version: m.Version})
 	}
-	if p.epoch == f.epoch {
+	if p.epoch == f.epoch && !late {
 		p.along = f.now
 	}
 	if p.epoch == f.epoch && !f.served && f.Fresh() {
