A machine that hears no majority says so, and the others go on without it

Cause: a machine that is heard and hears nobody held up every acknowledgement for as long as that lasted: the others counted it as live, and it counted as sound. Change: once a machine has heard a majority and does so no longer, its beats say that nothing can be given to it, as for a disk that takes nothing.

--- a/exchange/frame/contact.go
+++ b/exchange/frame/contact.go
@@ -68,3 +68,11 @@
 func (f *Frame) inTouch(p *peer) bool {
 	return p != nil && p.epoch == f.epoch && p.contact != 0 && f.now < p.contact+contactFor
 }
+
+// deaf reports whether this machine has heard a majority, and does so no longer. It tells the others, who may
+// hear it: they are to do without it.
+func (f *Frame) deaf() bool {
+	most := len(f.Heard()) >= f.majority()
+	f.heardMost = f.heardMost || most
+	return f.heardMost && !most
+}
--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -114,6 +114,7 @@
 	peers     map[string]*peer
 	beatAt    time.Duration
 	beatsSent beatTimes
+	heardMost bool     // it has heard a majority in this life
 	chain     []string // of the view that serves, as far as known
 	epoch     uint64
 	wish      []string // for another view
@@ -381,7 +382,7 @@
 
 // beat tells the others of the core how this machine is.
 func (f *Frame) beat() {
-	m := signal.Message{Kind: signal.Beat, OK: f.rec.Whole && f.next.Whole, Ill: f.sick(),
+	m := signal.Message{Kind: signal.Beat, OK: f.rec.Whole && f.next.Whole, Ill: f.sick() || f.deaf(),
 		ID: f.rec.ID, Generation: f.rec.Generation, Joint: len(f.rec.Former) > 0, Leaving: f.leaving,
 		Beat: f.beatsSent.next(f.now), List: &signal.List{Epoch: f.list.Epoch, Seq: f.list.Seq}}
 	if f.beatsSent.sent%membersEach == 0 {
--- a/exchange/signal/signal.go
+++ b/exchange/signal/signal.go
@@ -64,7 +64,7 @@
 	Version  uint64    `pb:"7"`
 	Config   *Packed   `pb:"8"`
 	OK       bool      `pb:"9"`  // of Beat: whole; of News: fresh; of Confirmed: yes
-	Ill      bool      `pb:"10"` // of Beat: the disk takes nothing
+	Ill      bool      `pb:"10"` // of Beat: the disk takes nothing, or the sender hears no majority
 	Disk     bool      `pb:"11"` // of Hello: the sender has a disk
 	List     *List     `pb:"12"`
 	Members  []Machine `pb:"13"`
