Tell what is committed while more is on its way; tell nothing new where that is not known

Cause: with a later configuration on the disk and not yet committed, a machine answered its askers as fresh and without the one that was: r3 was in force at them 16 s after r6 had been acknowledged. And a machine that was never told what is done went on saying that there is nothing new. Change: news is told from the texts that are committed. What comes down the chain tells that the one before is done.

--- a/exchange/frame/chain.go
+++ b/exchange/frame/chain.go
@@ -163,7 +163,7 @@
 			return f.rec.Past[i].Version > f.committed
 		}):]
 		f.Actions.Send(f.chain[at+1], &signal.Message{Kind: signal.Relay, Epoch: f.epoch, Version: f.rec.Version,
-			Past: past, Config: f.packed(f.committed, !again)})
+			Past: past, Config: f.packed(f.held(), f.committed, !again)})
 		return
 	}
 	m := &signal.Message{Kind: signal.Done, Epoch: f.epoch, Version: f.rec.Version}
@@ -181,6 +181,8 @@
 	}
 	switch {
 	case m.Version > f.next.Version && m.Config != nil:
+		// The head starts on the next once what came before is done.
+		f.done(&signal.Message{Epoch: f.epoch, Version: f.rec.Version})
 		config, err := m.Config.Unpack(f.next.Version, f.next.Config)
 		if err != nil {
 			return // it comes again, whole
@@ -219,19 +221,22 @@
 	clear(f.packs)
 }
 
-// packed is what is on disk, as a change of a version if that is wanted and known. It is made once for all
+// held is the configuration on disk.
+func (f *Frame) held() text { return text{f.rec.Version, f.rec.Config} }
+
+// packed is a configuration as a change of a version, if that is wanted and known. It is made once for all
 // who ask with the same.
-func (f *Frame) packed(base uint64, change bool) *signal.Packed {
+func (f *Frame) packed(t text, base uint64, change bool) *signal.Packed {
 	var old []byte
 	if i := slices.IndexFunc(f.texts, func(t text) bool { return t.version == base }); i >= 0 && change {
 		old = f.texts[i].text
 	} else {
 		base = 0
 	}
-	key := [2]uint64{f.rec.Version, base}
+	key := [2]uint64{t.version, base}
 	p := f.packs[key]
 	if p == nil {
-		p = signal.Pack(f.rec.Config, base, old)
+		p = signal.Pack(t.text, base, old)
 		if len(f.packs) >= 2*mostTexts {
 			clear(f.packs)
 		}
@@ -266,7 +271,7 @@
 		}
 		answer := &signal.Message{Kind: signal.Copy, Life: m.Life, Call: m.Call, Version: f.committed, OK: true}
 		if f.committed > m.Version {
-			answer.Config = f.packed(m.Version, true)
+			answer.Config = f.packed(f.held(), m.Version, true)
 		}
 		f.Actions.Send(from, answer)
 	})
--- a/exchange/frame/contact.go
+++ b/exchange/frame/contact.go
@@ -76,3 +76,9 @@
 	f.heardMost = f.heardMost || most
 	return f.heardMost && !most
 }
+
+// hung reports whether something has been on this disk for long, and is not known to be committed: it may be,
+// and acknowledged, and this machine alone has not been told.
+func (f *Frame) hung() bool {
+	return f.rec.Version > f.committed && f.now > f.heldSince+contactFor
+}
--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -114,8 +114,9 @@
 	peers     map[string]*peer
 	beatAt    time.Duration
 	beatsSent beatTimes
-	heardMost bool     // it has heard a majority in this life
-	chain     []string // of the view that serves, as far as known
+	heardMost bool          // it has heard a majority in this life
+	heldSince time.Duration // when the version on disk came there
+	chain     []string      // of the view that serves, as far as known
 	epoch     uint64
 	wish      []string // for another view
 	wishAt    time.Duration
@@ -268,6 +269,9 @@
 	if f.ill {
 		f.Actions.Log(events.DiskWell)
 	}
+	if s.rec.Version != f.rec.Version {
+		f.heldSince = now
+	}
 	f.ill, f.rec = false, s.rec
 	if s.then != nil {
 		s.then()
--- a/exchange/frame/news.go
+++ b/exchange/frame/news.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -34,21 +35,34 @@
 
 // news answers all that wait for it.
 func (f *Frame) news() {
-	for from := range f.polls {
+	for _, from := range f.asking(true) {
 		f.answer(from, false)
 	}
 }
 
+// tells reports whether what this machine knows may be told as the newest.
+func (f *Frame) tells() bool { return f.Fresh() && !f.hung() }
+
 // answerPolls answers those that have waited long enough.
 func (f *Frame) answerPolls() {
-	if f.Fresh() {
+	if f.tells() {
 		f.freshAt = f.now
 	}
+	for _, from := range f.asking(!f.mending()) {
+		f.answer(from, f.now >= f.polls[from].due)
+	}
+}
+
+// asking returns who waits for news, all or those who have waited long enough, in an agreed
+// order: a rehearsal repeats by its seed.
+func (f *Frame) asking(all bool) (list []string) {
 	for from, p := range f.polls {
-		if f.now >= p.due || !f.mending() {
-			f.answer(from, f.now >= p.due)
+		if all || f.now >= p.due {
+			list = append(list, from)
 		}
 	}
+	slices.Sort(list)
+	return list
 }
 
 // mending reports whether this machine serves, or did so a moment ago: a change of the view is over soon, and
@@ -58,7 +72,7 @@
 // answer answers a poll, if there is news for it or it has waited long enough.
 func (f *Frame) answer(to string, now bool) {
 	p := f.polls[to]
-	m := &signal.Message{Kind: signal.News, Life: p.Life, Call: p.Call, OK: f.Fresh() && p.Epoch <= f.epoch,
+	m := &signal.Message{Kind: signal.News, Life: p.Life, Call: p.Call, OK: f.tells() && p.Epoch <= f.epoch,
 		Epoch: p.Epoch}
 	if !m.OK && !f.mending() {
 		now = true
@@ -69,8 +83,8 @@
 			m.Generation = f.rec.Generation
 		}
 		// What is on this disk and not committed yet is no news.
-		if f.committed > p.Version && f.rec.Version == f.committed {
-			m.Version, m.Config, now = f.rec.Version, f.packed(p.Version, true), true
+		if n := len(f.texts); n > 0 && f.texts[n-1].version == f.committed && f.committed > p.Version {
+			m.Version, m.Config, now = f.committed, f.packed(f.texts[n-1], p.Version, true), true
 		}
 		if f.list.Epoch != 0 && newer(&f.list, p.List) {
 			l := f.list // not the frame's own, which changes: this process asks, too
@@ -139,7 +153,8 @@
 // own returns the members that renew their leases here, with how long ago they did.
 func (f *Frame) own() []signal.Machine {
 	var list []signal.Machine
-	for _, m := range f.members {
+	for _, addr := range slices.Sorted(maps.Keys(f.members)) {
+		m := f.members[addr]
 		if m.here != 0 && f.now <= m.here+leaseTime {
 			x := m.Machine
 			x.Age = uint64((f.now - m.here).Milliseconds())
