Fence the list of servers by the epoch under which its reading began

Cause: a list got the epoch that was in service when it was told, so that a reading which was held up over a change of the view passed for one of the new view. Worse, a new holder stamped whatever list it had with its epoch: one that came back after a cut put its list of before the cut in force everywhere, draining servers as live ones among them. Change: the reading carries the epoch at its beginning, and is dropped under another. No list is stamped anew; where none is read under a view for 2 s (the platform is down), the newest goes to the holder and on to those behind, with its own token. A page that came after a standstill of the process, and a list that waited 1 s to be told, are dropped.

--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -30,6 +30,7 @@
 	resendEvery = 300 * time.Millisecond  // of what goes down the chain
 	mendTime    = 500 * time.Millisecond  // that a change of the view may take before others are asked
 	leaseTime   = 3 * time.Second         // of a member: three polls
+	unreadFor   = 2 * time.Second         // without a reading, the list that there is goes on
 	foundQuiet  = 400 * time.Millisecond  // without a new machine, before the first start
 	seedWait    = 1500 * time.Millisecond // for a seed that may be starting yet
 	foundFew    = 30 * time.Second        // and then with fewer than survive asks for
@@ -453,4 +454,5 @@
 		f.Actions.Send(from, &signal.Message{Kind: signal.Active, Epoch: f.epoch, Chain: f.chain,
 			Version: f.committed}) // it missed the news
 	}
+	f.tellBehind(from, p)
 }
--- a/exchange/frame/news.go
+++ b/exchange/frame/news.go
@@ -191,11 +191,16 @@
 	return f.epoch, f.Fresh() && Holder(f.chain, d) == f.self
 }
 
-// List takes the list of servers as this machine has read it by its duty.
-func (f *Frame) List(now time.Duration, servers []signal.Server) {
+// List takes the list of servers as this machine has read it by its duty, and the epoch under which it held
+// that when it began to read: the list's fencing token. A reading that was held up while another view came is
+// older than what the next holder has told by then, and is dropped.
+func (f *Frame) List(now time.Duration, began uint64, servers []signal.Server) {
 	f.now = now
 	epoch, ok := f.Holds(ReadServers)
-	if !ok || f.list.Epoch == epoch && slices.Equal(servers, f.list.Servers) {
+	if !ok || began != epoch {
+		return
+	}
+	if f.list.Epoch == epoch && slices.Equal(servers, f.list.Servers) {
 		f.tellList()
 		return
 	}
@@ -221,6 +226,21 @@
 	}
 }
 
+// tellBehind has the list go on where none was read under this view for long, since the platform may be down:
+// to the machine whose duty that is, if others have a newer one, and from there to those that are behind. It
+// keeps its token.
+func (f *Frame) tellBehind(to string, p *peer) {
+	holder := Holder(f.chain, ReadServers)
+	if f.state != InService || f.now < f.since+unreadFor || f.list.Epoch == f.epoch ||
+		holder != f.self && holder != to || !slices.Contains(f.chain, to) ||
+		!newer(&f.list, &signal.List{Epoch: p.listEpoch, Seq: p.listN}) {
+		return
+	}
+	p.listEpoch, p.listN = f.list.Epoch, f.list.Seq // until its beat says otherwise
+	l := f.list
+	f.Actions.Send(to, &signal.Message{Kind: signal.Lineup, List: &l})
+}
+
 // lineup takes the list of servers from the machine that reads it.
 func (f *Frame) lineup(m *signal.Message) {
 	l := m.List
--- a/exchange/frame/view.go
+++ b/exchange/frame/view.go
@@ -430,9 +430,6 @@
 	f.commit(m.Version)
 	f.become(InService)
 	f.Actions.Log(events.InService, "epoch", m.Epoch, "machines", len(m.Chain), "version", f.committed)
-	if f.list.Epoch != 0 && f.chain[len(f.chain)-1] == f.self {
-		f.list.Epoch, f.list.Seq = f.epoch, 1
-	}
 	f.beat() // so that all know at once that a majority serves
 	f.news()
 	f.advance()
--- a/exchange/lineup/lineup.go
+++ b/exchange/lineup/lineup.go
@@ -23,6 +23,7 @@
 	mostPage  = 1 << 20
 	mostPages = 256
 	callLimit = 900 * time.Millisecond // for a page
+	heldUp    = 100 * time.Millisecond // beyond which a page that came is too old
 )
 
 type entry struct {
@@ -44,12 +45,14 @@
 type Reader struct {
 	addr   string
 	client *http.Client
+	now    func() time.Time
 	colds  map[string]uint64 // how long a server was to stay slow, when it was first seen
 }
 
 // New returns a reader.
 func New(addr string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Reader {
-	return &Reader{addr: addr, colds: map[string]uint64{}, client: &http.Client{Timeout: callLimit,
+	return &Reader{addr: addr, now: time.Now, colds: map[string]uint64{}, client: &http.Client{
+		Timeout:   callLimit,
 		Transport: &http.Transport{DialContext: dial, MaxIdleConns: 1, DisableCompression: true}}}
 }
 
@@ -111,6 +114,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	began := r.now()
 	resp, err := r.client.Do(req)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "list of servers")
@@ -124,6 +128,10 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "list of servers")
 	}
+	// The process stood still meanwhile: the call's own limit may not have struck yet.
+	if took := r.now().Sub(began); took > callLimit+heldUp {
+		return nil, trace.LimitExceeded("list of servers: a page took %v", took)
+	}
 	return decode(body)
 }
 
--- a/exchange/office/office.go
+++ b/exchange/office/office.go
@@ -224,10 +224,11 @@
 	return f.frame.Holds(d)
 }
 
-// Servers takes the list of servers, as this process read it by its duty.
-func (f *Office) Servers(now time.Duration, list []signal.Server) {
+// Servers takes the list of servers, as this process read it by its duty: with the epoch under which it held
+// that when the reading began.
+func (f *Office) Servers(now time.Duration, epoch uint64, list []signal.Server) {
 	if f.frame != nil {
-		f.frame.List(now, list)
+		f.frame.List(now, epoch, list)
 	}
 }
 
--- a/exchange/plant/plant.go
+++ b/exchange/plant/plant.go
@@ -48,6 +48,7 @@
 // Times and bounds of a process.
 const (
 	listEvery  = 850 * time.Millisecond // between readings of the list of servers: each page has its price
+	listOld    = time.Second            // a list that waited for so long to be told was held up with the process
 	openEvery  = 5 * time.Millisecond   // between looks whether clients can be taken
 	meterEvery = 100 * time.Millisecond // between looks at what waits for tokens
 	// after SIGTERM: two checks of the platform and a connection on its way
@@ -264,9 +265,9 @@
 	p.meter.Tick(now)
 	p.asks.Store(p.office.Asks())
 	next = min(next, now+meterEvery)
-	if _, ok := p.office.Holds(frame.ReadServers); ok && !p.reading && now >= p.readAt {
+	if epoch, ok := p.office.Holds(frame.ReadServers); ok && !p.reading && now >= p.readAt {
 		p.reading = true
-		go p.read()
+		go p.read(p.reader, epoch)
 	}
 	if !p.opened && p.front.Ready() {
 		p.opened = true
@@ -281,17 +282,18 @@
 	return next - p.now()
 }
 
-// read reads the list of servers.
-func (p *Plant) read() {
-	list, err := p.reader.Read(p.work)
+// read reads the list of servers, by a duty that this machine holds under an epoch.
+func (p *Plant) read(reader *lineup.Reader, epoch uint64) {
+	list, err := reader.Read(p.work)
 	if err != nil {
 		p.Log(events.ListFailed, "error", trace.UserMessage(err))
 	}
+	ended := p.now()
 	p.loop.do(func() {
 		p.reading = false
 		p.readAt = p.now() + listEvery
-		if err == nil {
-			p.office.Servers(p.now(), list)
+		if err == nil && p.now() < ended+listOld {
+			p.office.Servers(p.now(), epoch, list)
 		}
 	})
 }
--- a/exchange/rehearsal/rehearsal.go
+++ b/exchange/rehearsal/rehearsal.go
@@ -361,8 +361,8 @@
 			return
 		}
 		m.act(life, func() {
-			if _, ok := m.office.Holds(frame.ReadServers); ok {
-				m.office.Servers(m.x.Now, slices.Clone(m.x.Servers))
+			if epoch, ok := m.office.Holds(frame.ReadServers); ok {
+				m.office.Servers(m.x.Now, epoch, slices.Clone(m.x.Servers))
 			}
 		})
 		m.lists(life)
