Take no news that was held up with the process; answer calls within their limit

Cause: a machine that stood still took an answer that had waited for it, and went by r7 3.2 s after r8 had been acknowledged. The end of a call was looked at with its next sending, up to 0.2 s late, so that an operator got his 503 1.001 s after he had asked, and had gone on by then. Change: news counts for as long as it is awaited, 1.25 s; calls end at 0.88 s.

--- a/exchange/extension/extension.go
+++ b/exchange/extension/extension.go
@@ -4,6 +4,7 @@
 package extension
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -24,6 +25,14 @@
 	CallLimit  = 880 * time.Millisecond // for a call: operators move on after a second of silence
 )
 
+// AnswerMost is how long an answer is awaited and taken; TurnMost: until another machine than one that has
+// fallen silent has answered, or has not.
+const (
+	AnswerMost = pollWait + lostAfter
+	TurnMost   = AnswerMost + firstAfter
+	NextAfter  = againAfter + firstAfter // the same, from the answer of one that says that it is out of touch
+)
+
 // Actions are what an Extension does. They must not call it back.
 type Actions interface {
 	Send(to string, m *signal.Message)
@@ -197,7 +206,8 @@
 			next = e.askAt
 		}
 	}
-	for id, c := range e.calls {
+	for _, id := range slices.Sorted(maps.Keys(e.calls)) {
+		c := e.calls[id]
 		switch {
 		case now >= c.began+CallLimit:
 			delete(e.calls, id)
@@ -205,7 +215,7 @@
 		case now >= c.sent+callEvery:
 			e.send(c)
 		}
-		next = min(next, c.sent+callEvery)
+		next = min(next, c.sent+callEvery, c.began+CallLimit)
 	}
 	return next
 }
@@ -227,7 +237,7 @@
 // patience is how long an answer may take. A machine that is newly asked answers at once.
 func (e *Extension) patience() time.Duration {
 	if e.state == Attached {
-		return pollWait + lostAfter
+		return AnswerMost
 	}
 	return firstAfter
 }
@@ -267,7 +277,8 @@
 	case signal.Roll, signal.Notice:
 		e.know(m)
 	case signal.News:
-		if from == e.at && m.Call == e.call && e.askAt == 0 {
+		// What comes later was held up with this process, and so was its turn to ask elsewhere.
+		if from == e.at && m.Call == e.call && e.askAt == 0 && now < e.askedAt+e.patience() {
 			e.news(m)
 		}
 	case signal.Done, signal.Conflict, signal.Copy, signal.Reformed:
