Take no tokens of a holder whose duty has ended

Cause: by review. A meter looked at the life and the call of a grant, not at the epoch; a desk opened under any epoch but its own, an older one among them. Change: a grant under another epoch than the meter's, or a second after its question, is not taken; a desk's epoch only rises.

--- a/exchange/toll/desk.go
+++ b/exchange/toll/desk.go
@@ -77,7 +77,7 @@
 // Open begins the duty under an epoch. The desk knows nothing of what was spent before: stores begin low, and
 // fill from then on.
 func (d *Desk) Open(now time.Duration, epoch uint64) {
-	if epoch != d.epoch {
+	if epoch > d.epoch {
 		d.epoch, d.opened = epoch, now
 		clear(d.stores)
 		clear(d.asked)
--- a/exchange/toll/meter.go
+++ b/exchange/toll/meter.go
@@ -15,6 +15,7 @@
 	debtEvery  = 80 * time.Millisecond  // and between those that only tell what was spent
 	openFor    = 600 * time.Millisecond // after an answer of the desk, what it said of a tenant holds
 	askLimit   = 200 * time.Millisecond // for an answer: many ways there and back
+	grantMost  = time.Second            // and none is taken that is later: it was held up with a process
 	aloneAfter = 350 * time.Millisecond // without an answer, the desk can't be reached
 	waitMost   = 400 * time.Millisecond // for a request: by then it is known whether the desk is there
 	dryTime    = 60 * time.Millisecond  // for which a store that was found empty is taken to be so
@@ -234,10 +235,12 @@
 	return false
 }
 
-// Granted takes the desk's answer to the question that is out, once. Any other has been given up.
+// Granted takes the desk's answer to the question that is out, once. Any other has been given up. One under
+// another epoch is of a desk whose duty has ended: what it gives is given once more by the next.
 func (m *Meter) Granted(now time.Duration, g *signal.Message) {
 	m.mu.Lock()
-	if g.Life != m.life || g.Call != m.call || !g.OK || m.asked == 0 {
+	if g.Life != m.life || g.Call != m.call || g.Epoch != m.epoch || !g.OK ||
+		m.asked == 0 || now >= m.asked+grantMost {
 		m.mu.Unlock()
 		return
 	}
