Hold every word of every machine to what a majority goes by

Each machine of the core has each of thirteen troubles for twenty seconds (cut whole, one way, from the core alone, from all but the core; heard or hearing three seconds late; frozen; a slow, hanging, full disk), while operators go on and the platform's list changes. A configuration that comes into force 2 s after a newer one was acknowledged is a broken promise in every rehearsal. The bounds are derived from the constants and held to apply_s, quiet_s and a caller's second.

--- /dev/null
+++ b/exchange/rehearsal/quorum_test.go
@@ -0,0 +1,539 @@
+package rehearsal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"dunespoke/exchange/extension"
+	"dunespoke/exchange/frame"
+	"dunespoke/exchange/signal"
+)
+
+// The bounds of the rules, by their names on the users' pages.
+const (
+	applyWithin = 2 * time.Second // apply_s
+	quietFor    = 3 * time.Second // quiet_s
+	callerWaits = time.Second     // of silence, after which a caller goes on
+	wayBack     = 50 * time.Millisecond
+	// confirm_s: no orderly change waits longer for its acknowledgement.
+	mostForAChange = 4 * time.Second
+)
+
+// Given the times that the program goes by, then what follows from them keeps within the rules.
+func TestTheBoundsOfWhatIsToldOutOfTouch(t *testing.T) {
+	for what, c := range map[string]struct{ got, most time.Duration }{
+		"who asks a silent machine asks the next": {extension.TurnMost, applyWithin},
+		"who asks one out of touch asks the next": {frame.SilentMost + extension.NextAfter, applyWithin},
+		"an older configuration comes into force": {OldInForce, applyWithin},
+		"all have left a machine out of touch":    {frame.SilentMost + extension.TurnMost, quietFor},
+		"a call is answered":                      {extension.CallLimit, callerWaits - wayBack},
+	} {
+		if c.got > c.most {
+			t.Errorf("%s after %v, %v is allowed", what, c.got, c.most)
+		}
+	}
+}
+
+// watch holds every word of every machine to what a majority has agreed on more than the bound ago.
+type watch struct {
+	x      *Exchange
+	polls  map[poll]uint64  // the version that the question came with
+	views  map[uint64]began // by epoch
+	newest uint64           // of these
+	last   map[word]time.Duration
+	lists  map[process]signal.List // that was told last
+	wrong  []string
+}
+
+type poll struct {
+	from       string
+	life, call uint64
+}
+
+// began is when a view was first in service, and how many lists the platform had told by then.
+type began struct {
+	at     time.Duration
+	serial int
+}
+
+type process struct {
+	m      *Machine
+	number int
+}
+
+type word struct {
+	from *Machine
+	kind signal.Kind
+}
+
+func watched(x *Exchange) *watch {
+	w := &watch{x: x, polls: map[poll]uint64{}, views: map[uint64]began{}, last: map[word]time.Duration{},
+		lists: map[process]signal.List{}}
+	x.Told = w.told
+	return w
+}
+
+// serial tells the platform's lists apart: each has one server, named by its number.
+func serial(list []signal.Server) int {
+	if len(list) == 0 {
+		return 0
+	}
+	n, _ := strconv.Atoi(list[0].ID)
+	return n
+}
+
+// change has the platform tell another list.
+func (w *watch) change() {
+	w.x.Servers = []signal.Server{{ID: strconv.Itoa(serial(w.x.Servers) + 1)}}
+}
+
+func (w *watch) breaks(from *Machine, format string, args ...any) {
+	w.wrong = append(w.wrong, fmt.Sprintf("%v %s ", w.x.Now-time.Hour, from.Name)+fmt.Sprintf(format, args...))
+}
+
+// told takes a word of a machine.
+func (w *watch) told(from *Machine, to string, m *signal.Message) {
+	switch m.Kind {
+	case signal.Beat:
+		if _, known := w.views[m.Epoch]; m.Epoch > 0 && !known {
+			w.views[m.Epoch] = began{w.x.Now, serial(w.x.Servers)}
+			w.newest = max(w.newest, m.Epoch)
+		}
+		return
+	case signal.Poll:
+		w.polls[poll{from.self.Addr, m.Life, m.Call}] = m.Version
+		return
+	case signal.News:
+		w.news(from, to, m)
+	case signal.Grant:
+		w.inForce(from, "grants tokens", m.Epoch, m.OK)
+	case signal.Lineup:
+		w.read(from, m.List)
+		return
+	}
+	if m.OK || m.Kind == signal.Conflict {
+		w.last[word{from, m.Kind}] = w.x.Now
+	}
+}
+
+// inForce holds a word that is told under an epoch to the views that were in service more than the bound ago.
+func (w *watch) inForce(from *Machine, what string, epoch uint64, ok bool) {
+	if v := w.views[w.newest]; ok && epoch < w.newest && w.x.Now > v.at+frame.OldMost {
+		w.breaks(from, "%s under %d, %d is in service since %v", what, epoch, w.newest, v.at-time.Hour)
+	}
+}
+
+func (w *watch) news(from *Machine, to string, m *signal.Message) {
+	version, known := w.polls[poll{to, m.Life, m.Call}]
+	delete(w.polls, poll{to, m.Life, m.Call})
+	if !m.OK || !known { // asked before the watch began
+		return
+	}
+	w.inForce(from, "tells news", m.Epoch, true)
+	if m.Config != nil {
+		version = m.Version
+	}
+	for _, c := range w.x.Calls {
+		if c.Acked && !c.Read && c.Version > version && w.x.Now > c.At+frame.OldMost {
+			w.breaks(from, "tells r%d, r%d was acknowledged %v ago", version, c.Version, w.x.Now-c.At)
+		}
+	}
+	if m.List != nil {
+		w.read(from, m.List)
+	}
+}
+
+// read holds a list to its token: it was read when that epoch's view was in service, and tokens only rise.
+func (w *watch) read(from *Machine, l *signal.List) {
+	of := process{from, from.life}
+	if old := w.lists[of]; l.Epoch < old.Epoch || l.Epoch == old.Epoch && l.Seq < old.Seq {
+		w.breaks(from, "tells a list of %d.%d after one of %d.%d", l.Epoch, l.Seq, old.Epoch, old.Seq)
+	}
+	w.lists[of] = *l
+	if v, known := w.views[l.Epoch]; known && serial(l.Servers) < v.serial {
+		w.breaks(from, "tells list %d as one of %d, which began with %d", serial(l.Servers), l.Epoch, v.serial)
+	}
+}
+
+// trouble is what befalls a machine for a while.
+type trouble struct {
+	name string
+	hit  func(s *story, m *Machine)
+	// It can't know what a majority goes by: nothing that counts is said after the bound. What a majority has
+	// said may come late, and is true all the same.
+	mute bool
+	late time.Duration
+}
+
+var troubles = []trouble{
+	{"cut off from all", func(s *story, m *Machine) {
+		for _, other := range s.others(m) {
+			s.Cut(m, other, true)
+		}
+	}, true, 0},
+	{"heard by nobody", func(s *story, m *Machine) {
+		for _, other := range s.others(m) {
+			s.CutOneWay(m, other, true)
+		}
+	}, true, 0},
+	{"hears nobody", func(s *story, m *Machine) {
+		for _, other := range s.others(m) {
+			s.CutOneWay(other, m, true)
+		}
+	}, true, 0},
+	{"cut off from the core", func(s *story, m *Machine) { s.Isolate(m, true) }, true, 0},
+	{"hears nobody of the core", func(s *story, m *Machine) {
+		for _, other := range s.Disked() {
+			if other != m {
+				s.CutOneWay(other, m, true)
+			}
+		}
+	}, true, 0},
+	{"heard by nobody of the core", func(s *story, m *Machine) {
+		for _, other := range s.Disked() {
+			if other != m {
+				s.CutOneWay(m, other, true)
+			}
+		}
+	}, true, 0},
+	{"cut off from all but the core", func(s *story, m *Machine) {
+		for _, other := range s.Machines {
+			if !other.disk {
+				s.Cut(m, other, true)
+			}
+		}
+	}, false, 0},
+	{"hears all three seconds late", func(s *story, m *Machine) {
+		for _, other := range s.others(m) {
+			s.SlowOneWay(other, m, 3*time.Second)
+		}
+	}, true, 3 * time.Second},
+	{"is heard three seconds late", func(s *story, m *Machine) {
+		for _, other := range s.others(m) {
+			s.SlowOneWay(m, other, 3*time.Second)
+		}
+	}, true, 3 * time.Second},
+	{"frozen", func(_ *story, m *Machine) { m.Freeze() }, true, 0},
+	{"a slow disk", func(_ *story, m *Machine) { m.SetSync(1500 * time.Millisecond) }, false, 0},
+	{"a disk that hangs", func(_ *story, m *Machine) { m.Hang(true) }, false, 0},
+	{"a full disk", func(_ *story, m *Machine) { m.Fill(true) }, false, 0},
+}
+
+// others are all machines but one.
+func (x *Exchange) others(m *Machine) []*Machine {
+	return slices.DeleteFunc(slices.Clone(x.Machines), func(o *Machine) bool { return o == m })
+}
+
+// counts are the kinds of words that claim to be the newest, or to be held by a majority.
+var counts = []signal.Kind{signal.News, signal.Done, signal.Conflict, signal.Copy, signal.Grant}
+
+// twentySeconds has a machine of the core in trouble for that long, while operators go on at the others and
+// at this one, and the platform's list changes. It returns the longest that a change took.
+func twentySeconds(s *story, w *watch, m *Machine, hit func(*story, *Machine)) (longest time.Duration) {
+	others := s.others(m)
+	hit(s, m)
+	began := s.Now
+	for i := 0; s.Now < began+20*time.Second; i++ {
+		w.change()
+		s.version += 3
+		s.PutText(m, s.version, "in-trouble")
+		s.Read(m)
+		s.PutText(m, s.version-3, "another")
+		took, ok := s.changeAt(others, i, s.version)
+		if !ok {
+			s.version += 3
+		}
+		longest = max(longest, took)
+		s.Read(others[i%len(others)])
+		s.Run(600 * time.Millisecond)
+	}
+	return longest
+}
+
+// changeAt sends a change to one of some machines after another until it has a clear answer.
+func (s *story) changeAt(list []*Machine, first int, version uint64) (took time.Duration, ok bool) {
+	began := s.Now
+	for i := first; s.Now < began+8*time.Second; i++ {
+		c := s.PutText(list[i%len(list)], version, "in-order")
+		s.Until(func() bool { return c.Ended }, time.Second)
+		if c.Acked || c.Conflict {
+			return s.Now - began, c.Acked
+		}
+	}
+	return 8 * time.Second, false
+}
+
+func (s *story) heal(m *Machine) {
+	m.SetSync(5 * time.Millisecond)
+	m.Hang(false)
+	mend(s.Exchange, []*Machine{m})
+}
+
+// Given any machine of the core in any trouble for twenty seconds, when operators go on and servers come and
+// go, then it tells nothing older than the bound, neither confirms nor refuses, and passes those on who ask
+// it, within the second that they wait; the others go on, and when it is over all go by the newest.
+func TestTwentySecondsOutOfTouch(t *testing.T) {
+	for _, tr := range troubles {
+		for _, name := range []string{"z1-1", "z2-1", "z3-1"} {
+			t.Run(tr.name+" "+name, func(t *testing.T) {
+				s := given(t, 2)
+				s.ReadTime = 700 * time.Millisecond
+				w := watched(s.Exchange)
+				m, first, began := s.Named(name), len(s.Calls), s.Now
+				if took := twentySeconds(s, w, m, tr.hit); took > mostForAChange {
+					t.Errorf("a change took %v at the others", took)
+				}
+				for _, kind := range counts {
+					most := frame.SilentMost
+					if kind != signal.News && kind != signal.Grant {
+						most += tr.late
+					}
+					if at := w.last[word{m, kind}]; tr.mute && at > began+most {
+						t.Errorf("it says %d for %v more", kind, at-began)
+					}
+				}
+				for _, c := range s.Calls[first:] {
+					if took := c.At - c.Began; c.Ended && took > callerWaits-wayBack {
+						t.Errorf("%+v has its answer after %v", *c, took)
+					}
+					if !c.Ended && !m.frozen && c.Began < s.Now-callerWaits {
+						t.Errorf("%+v has no answer", *c)
+					}
+				}
+				s.heal(m)
+				s.Run(6 * time.Second)
+				c := s.Read(m)
+				s.Run(time.Second)
+				if !c.Acked || !s.Settled(c.Version) {
+					t.Errorf("read %+v; not all go by it", *c)
+				}
+				for _, other := range s.Machines {
+					if serial(other.Servers()) != serial(s.Servers) {
+						t.Errorf("%s goes by list %d of %d", other.Name, serial(other.Servers()), serial(s.Servers))
+					}
+				}
+				if len(s.Chain()) != 3 {
+					t.Errorf("the chain is %v", s.Chain())
+				}
+				if len(w.wrong) > 0 {
+					t.Errorf("%d words, the first: %s", len(w.wrong), w.wrong[0])
+				}
+				if wrong := s.consistent(); wrong != "" {
+					t.Error(wrong)
+				}
+			})
+		}
+	}
+}
+
+// Given the faults that this was made against, when a machine is in trouble for twenty seconds, then they are
+// told.
+func TestSeededDefectsOfTheQuorumAreFound(t *testing.T) {
+	for _, d := range []struct {
+		what, trouble, machine string
+		seed                   func(x *Exchange)
+	}{
+		{"beats that waited on their way count as contact now", "hears all three seconds late", "z3-1",
+			func(x *Exchange) {
+				x.Tamper = func(_ *Machine, m *signal.Message) {
+					if m.Kind == signal.Beat {
+						m.Held = uint64(time.Hour.Milliseconds())
+					}
+				}
+			}},
+		{"a list that was read under an epoch is told under the next", "frozen", "z1-1",
+			func(x *Exchange) { x.lateToken = true }},
+		{"a machine that hears nobody says that it is well", "hears nobody", "z1-1",
+			func(x *Exchange) {
+				x.Tamper = func(_ *Machine, m *signal.Message) { m.Ill = m.Ill && m.Kind != signal.Beat }
+			}},
+		{"a machine answers out of what it holds alone", "cut off from all", "z2-1",
+			func(x *Exchange) { x.alone = true }},
+	} {
+		s := given(t, 2)
+		s.ReadTime = 2 * time.Second
+		w := watched(s.Exchange)
+		d.seed(s.Exchange)
+		w.change()
+		s.Run(2 * time.Second) // reading
+		i := slices.IndexFunc(troubles, func(tr trouble) bool { return tr.name == d.trouble })
+		took := twentySeconds(s, w, s.Named(d.machine), troubles[i].hit)
+		if took <= mostForAChange && len(w.wrong) == 0 && s.consistent() == "" {
+			t.Errorf("not found: %s", d.what)
+		}
+	}
+}
+
+// Given a machine that comes back, with a list from before it was cut off, as the one that reads the list,
+// when the platform is down, then nobody goes back to that: it is told the newest, and passes it on.
+func TestAReaderThatComesBackTellsNoOldList(t *testing.T) {
+	s := given(t, 2)
+	w := watched(s.Exchange)
+	reader := s.Named("z3-1")
+	w.change()
+	s.Run(2 * time.Second)
+	s.Isolate(reader, true)
+	s.Run(3 * time.Second)
+	w.change()
+	s.Run(2 * time.Second)
+	s.PlatformDown = true
+	newcomer := s.Named("z2-1")
+	newcomer.Kill()
+	s.HealAll()
+	s.Run(2 * time.Second)
+	newcomer.Start()
+	s.then("all go by the newest", 8*time.Second, func() bool {
+		return len(s.Chain()) == 3 && !slices.ContainsFunc(s.Machines, func(m *Machine) bool {
+			return serial(m.Servers()) != serial(s.Servers)
+		})
+	})
+	for _, name := range []string{"z2-2", "z3-2"} { // which ask the newcomer, and the reader
+		s.Named(name).Kill()
+		s.Named(name).Start()
+	}
+	s.then("those that start now, too", 5*time.Second, func() bool {
+		return !slices.ContainsFunc(s.Machines, func(m *Machine) bool {
+			return serial(m.Servers()) != serial(s.Servers)
+		})
+	})
+	if len(w.wrong) > 0 {
+		t.Error(w.wrong[0])
+	}
+}
+
+// Given a machine of the chain that is never told what is done, when changes go down the chain through it,
+// then it tells nothing old: it knows by the next that what came before is done, and leaves off if none
+// comes.
+func TestAMachineThatIsNotToldWhatIsDone(t *testing.T) {
+	s := given(t, 2)
+	w := watched(s.Exchange)
+	s.Tamper = func(to *Machine, m *signal.Message) {
+		if to.Name == "z2-1" && (m.Kind == signal.Beat || m.Kind == signal.Done) {
+			m.Version = 0
+		}
+	}
+	for range 30 {
+		s.change(s.Named("z1-2"))
+		s.Run(200 * time.Millisecond)
+	}
+	s.Run(2 * time.Second)
+	if len(w.wrong) > 0 {
+		t.Errorf("%d words, the first: %s", len(w.wrong), w.wrong[0])
+	}
+}
+
+// Given a machine that stands still for twenty seconds with an answer on its way to it, when changes were
+// acknowledged meanwhile, then it doesn't go by that answer when it wakes.
+func TestNewsThatWasHeldUpIsNotTaken(t *testing.T) {
+	s := given(t, 1)
+	m := s.Named("z1-2")
+	s.Told = func(_ *Machine, to string, told *signal.Message) {
+		if to == m.self.Addr && told.Kind == signal.News && told.Config != nil {
+			m.Freeze()
+		}
+	}
+	s.change(s.Named("z2-2"))
+	s.Run(time.Second)
+	if !m.frozen {
+		t.Fatal("it was told nothing")
+	}
+	s.Told = nil
+	s.change(s.Named("z2-2"))
+	s.Run(20 * time.Second)
+	m.Thaw()
+	s.then("it goes by the newest, and by nothing older before", 2*time.Second,
+		func() bool { return m.Version() == s.version })
+}
+
+// Given a list that comes three seconds late to a machine of the core, when the next one came before it, then
+// those who start, and ask that machine, go by the next one.
+func TestAListThatComesLateIsNotTaken(t *testing.T) {
+	s := given(t, 2)
+	w := watched(s.Exchange)
+	s.Wire = func(_, to string, m *signal.Message) []Delivery {
+		late := time.Duration(0)
+		if m.Kind == signal.Lineup && to == s.Named("z2-1").self.Addr && serial(m.List.Servers) == 1 {
+			late = 3 * time.Second
+		}
+		return []Delivery{{to, late, m}}
+	}
+	w.change()
+	s.Run(time.Second)
+	w.change()
+	s.Run(2600 * time.Millisecond)
+	s.PlatformDown = true
+	m := s.Named("z2-2")
+	m.Kill()
+	m.Start()
+	s.then("it has the newest", time.Second, func() bool { return serial(m.Servers()) == 2 })
+	if len(w.wrong) > 0 {
+		t.Error(w.wrong[0])
+	}
+}
+
+// Given any history of cuts, freezes, slow links and disks, of the machines that may be lost together and of
+// any without a disk, and of all at once, when operators go on, then no word is older than the bound, all
+// answers are those of one register, and all go by the newest in the end.
+func TestDrawnTroubles(t *testing.T) {
+	for seed := range uint64(14) {
+		if wrong := words(t, seed); wrong != "" {
+			t.Errorf("seed %d: %s", seed, wrong)
+		}
+	}
+}
+
+// words draws a history, and returns what went wrong.
+func words(t *testing.T, seed uint64) string {
+	survive := 1 + int(seed%2)
+	s := &story{New(Options{Zones: 3, Disks: survive, Others: 1, Survive: survive, Seed: seed}), t, 0}
+	rng := rand.New(rand.NewPCG(seed, 9))
+	w := watched(s.Exchange)
+	s.StartAll()
+	disks := s.Disked()
+	if !s.Until(func() bool { return len(s.Chain()) == len(disks) }, 8*time.Second) {
+		return "no first start"
+	}
+	others := slices.DeleteFunc(slices.Clone(s.Machines), func(m *Machine) bool { return m.disk })
+	for range 8 {
+		hit := []*Machine{others[rng.IntN(len(others))]}
+		for range rng.IntN(survive + 1) {
+			hit = append(hit, disks[rng.IntN(len(disks))])
+		}
+		if rng.IntN(6) == 0 {
+			hit = disks
+			for _, m := range hit {
+				m.Freeze()
+			}
+		} else {
+			for _, m := range hit {
+				troubles[rng.IntN(len(troubles))].hit(s, m)
+			}
+		}
+		for range 1 + rng.IntN(6) {
+			w.change()
+			s.version += rng.Uint64N(3)
+			s.PutText(s.Machines[rng.IntN(len(s.Machines))], max(1, s.version), fmt.Sprint("t", rng.IntN(2)))
+			s.Read(s.Machines[rng.IntN(len(s.Machines))])
+			s.Run(time.Duration(rng.IntN(1200)) * time.Millisecond)
+		}
+		for _, i := range rng.Perm(len(hit)) {
+			s.heal(hit[i])
+			s.Run(time.Duration(rng.IntN(200)) * time.Millisecond)
+		}
+		s.Run(time.Duration(rng.IntN(2)) * 4 * time.Second)
+	}
+	s.Run(6 * time.Second)
+	c := s.Read(s.Machines[0])
+	s.Run(time.Second)
+	switch {
+	case len(w.wrong) > 0:
+		return w.wrong[0]
+	case !c.Acked || !s.Settled(c.Version):
+		return "not all go by the newest"
+	}
+	return s.consistent()
+}
--- a/exchange/rehearsal/rehearsal.go
+++ b/exchange/rehearsal/rehearsal.go
@@ -12,12 +12,17 @@
 	"time"
 
 	"dunespoke/exchange/events"
+	"dunespoke/exchange/extension"
 	"dunespoke/exchange/frame"
 	"dunespoke/exchange/office"
 	"dunespoke/exchange/signal"
 	"dunespoke/exchange/toll"
 )
 
+// OldInForce is how long after an acknowledgement an older configuration may come into force at most: what a
+// machine tells is as old as it may be, and is taken for as long as its answer is awaited.
+const OldInForce = frame.OldMost + extension.AnswerMost
+
 // Options say what an exchange is made of.
 type Options struct {
 	Zones   int
@@ -62,6 +67,8 @@
 	saved  time.Duration
 	sync   time.Duration
 	full   bool
+	hangs  bool
+	stuck  []func() // saves, while the disk hangs
 	tick   int
 
 	version uint64
@@ -81,6 +88,11 @@
 	Messages int             // sent so far, those that got lost among them
 	Bytes    int             // of these, without their frames
 	Calls    []*Call         // of operators, in the order in which they began
+	// ReadTime is how long the platform takes for its list; PlatformDown: for ever.
+	ReadTime     time.Duration
+	PlatformDown bool
+	// Told is called with each message that a machine sends, before it may get lost; it may be nil.
+	Told func(from *Machine, to string, m *signal.Message)
 	// Tamper changes what a machine is about to take, and Spoil what a disk is about to hold: a test that plays
 	// a defect shows what finds it. Both may be nil.
 	Tamper func(to *Machine, m *signal.Message)
@@ -90,6 +102,7 @@
 	events eventQueue
 	seq    int
 	cuts   map[[2]string]bool
+	slow   map[[2]string]time.Duration
 	seeds  []string
 	acked  uint64
 	broken []string
@@ -97,6 +110,10 @@
 	cores  registries
 	added  int    // machines that came after the first start
 	lives  uint64 // of all processes so far
+
+	// Defects that a test plays: a list is told under the epoch at its end, and a machine answers calls out of
+	// what it goes by itself.
+	lateToken, alone bool
 }
 
 // Delivery is a message that comes, so long after the delay of the link. It is not to be changed any more.
@@ -134,7 +151,7 @@
 // New makes an exchange whose machines are all off.
 func New(o Options) *Exchange {
 	x := &Exchange{Options: o, Now: time.Hour, rng: rand.New(rand.NewPCG(o.Seed, 1)), cuts: map[[2]string]bool{},
-		texts: map[uint64]string{}, cores: newRegistries()}
+		slow: map[[2]string]time.Duration{}, texts: map[uint64]string{}, cores: newRegistries()}
 	if x.Latency == 0 {
 		x.Latency = 2 * time.Millisecond
 	}
@@ -239,8 +256,16 @@
 	}
 }
 
-// HealAll ends all cuts.
-func (x *Exchange) HealAll() { clear(x.cuts) }
+// SlowOneWay has what one machine says to another take longer by so much: it waits in some buffer.
+func (x *Exchange) SlowOneWay(from, to *Machine, d time.Duration) {
+	x.slow[[2]string{from.self.Addr, to.self.Addr}] = d
+}
+
+// HealAll ends all cuts and slow links.
+func (x *Exchange) HealAll() {
+	clear(x.cuts)
+	clear(x.slow)
+}
 
 // Start starts a machine's process.
 func (m *Machine) Start() {
@@ -292,6 +317,15 @@
 // Fill has a disk refuse writes, or take them again.
 func (m *Machine) Fill(full bool) { m.full = full }
 
+// Hang has a disk do nothing of what it is asked to, or go on with it.
+func (m *Machine) Hang(hangs bool) {
+	m.hangs = hangs
+	for len(m.stuck) > 0 && !hangs {
+		m.stuck[0]()
+		m.stuck = m.stuck[1:]
+	}
+}
+
 // Frame returns the machine's frame; nil without a disk, or while it is down.
 func (m *Machine) Frame() *frame.Frame {
 	if !m.up {
@@ -361,8 +395,16 @@
 			return
 		}
 		m.act(life, func() {
-			if epoch, ok := m.office.Holds(frame.ReadServers); ok {
-				m.office.Servers(m.x.Now, epoch, slices.Clone(m.x.Servers))
+			if epoch, ok := m.office.Holds(frame.ReadServers); ok && !m.x.PlatformDown {
+				list := slices.Clone(m.x.Servers)
+				m.x.at(m.x.ReadTime, func() {
+					m.act(life, func() {
+						if m.x.lateToken {
+							epoch, _ = m.office.Holds(frame.ReadServers)
+						}
+						m.office.Servers(m.x.Now, epoch, list)
+					})
+				})
 			}
 		})
 		m.lists(life)
@@ -405,6 +447,10 @@
 		return c
 	}
 	m.act(m.life, func() {
+		if x.alone && version <= m.version {
+			c.Ended, c.At, c.Acked = true, x.Now, true
+			return
+		}
 		m.office.Put(x.Now, version, []byte(text), func(answer *signal.Message) {
 			c.Ended, c.At = true, x.Now
 			c.Acked = answer != nil && answer.Kind == signal.Done
@@ -444,6 +490,10 @@
 	}
 	before := x.acked
 	m.act(m.life, func() {
+		if x.alone {
+			c.Ended, c.At, c.Acked, c.Version, c.Text = true, x.Now, true, m.version, m.config
+			return
+		}
 		m.office.Read(x.Now, func(version uint64, config []byte) {
 			c.Ended, c.Acked, c.At = true, config != nil, x.Now
 			c.Version, c.Text = version, string(config)
@@ -483,6 +533,9 @@
 func (a *actions) Send(to string, m *signal.Message) {
 	x := a.m.x
 	from := a.m.self.Addr
+	if x.Told != nil {
+		x.Told(a.m, to, m)
+	}
 	if to == from && x.Tamper == nil { // as in the program: not copied
 		x.at(0, func() { a.m.act(a.life, func() { a.m.office.Handle(x.Now, from, m) }) })
 		return
@@ -513,7 +566,8 @@
 
 // deliver has a message come to whoever has the address by then.
 func (x *Exchange) deliver(from string, d Delivery) {
-	delay := x.Latency/3 + time.Duration(x.rng.Int64N(int64(x.Latency)*2/3))
+	delay := x.Latency/3 + time.Duration(x.rng.Int64N(int64(x.Latency)*2/3)) +
+		x.slow[[2]string{from, d.To}]
 	x.at(d.After+delay, func() {
 		for _, m := range x.Machines {
 			if m.self.Addr != d.To || !m.up || x.cuts[[2]string{from, d.To}] {
@@ -531,7 +585,7 @@
 func (a *actions) Save(token uint64, r frame.Record) {
 	m := a.m
 	m.saved = max(m.saved, m.x.Now) + m.sync
-	m.x.at(m.saved-m.x.Now, func() {
+	done := func() {
 		if !m.up || m.life != a.life {
 			return
 		}
@@ -543,6 +597,13 @@
 			m.x.sequence(m, &m.record)
 		}
 		m.act(a.life, func() { m.office.Saved(m.x.Now, token, ok) })
+	}
+	m.x.at(m.saved-m.x.Now, func() {
+		if m.hangs {
+			m.stuck = append(m.stuck, done)
+			return
+		}
+		done()
 	})
 }
 
@@ -562,6 +623,12 @@
 	}
 	m.x.texts[version] = string(config)
 	m.version, m.config = version, string(config)
+	for _, c := range m.x.Calls {
+		if c.Acked && !c.Read && c.Version > version && c.At < m.x.Now-OldInForce {
+			m.x.breaks("%s takes r%d, r%d was acknowledged %v ago", m.Name, version, c.Version, m.x.Now-c.At)
+			break
+		}
+	}
 }
 
 func (a *actions) Servers(list []signal.Server) { a.m.servers = list }
