Count votes by the id of the disk everywhere; leave out machines that are heard and don't hear

Cause, found by the check on registries: while a change to another disk at the same address was not complete, that disk's promise counted for the old member, too, since majorities went by addresses: a change could be told complete without a majority of those before. Besides, one way of a cut: a head that was heard and heard nobody had the whole core stand still for as long as it lasted, since all waited for it to propose; two machines of a chain of which one didn't hear the other acknowledged nothing, or asked for another view without end.

Change: majorities are counted by address and id. Beats tell which members are not heard, and a machine that hears no quorum says that it can't be counted on; two that don't hear each other are in no chain together. The first of those that serve proposes, and who serves nothing waits for them. Who hasn't answered a proposal isn't asked for 2 s.

Tests changed: a machine that comes back is taken in by those who serve, and no longer proposes itself: the test of late promises has the others serve nothing, so that it does. The test of old views blinds the machine once it is cut off, and looks before it would ask for another view: blinded, it takes itself for the only one that serves.

--- a/exchange/frame/chain.go
+++ b/exchange/frame/chain.go
@@ -296,7 +296,7 @@
 		return
 	}
 	r.yes[from] = true
-	if !quorate(func(addr string) bool { return r.yes[addr] }, f.next.voters()...) {
+	if !quorate(func(m signal.Machine) bool { return r.yes[m.Addr] && f.is(m) }, f.next.voters()...) {
 		return
 	}
 	delete(f.asks, m.Call)
--- a/exchange/frame/contact.go
+++ b/exchange/frame/contact.go
@@ -69,14 +69,6 @@
 	return p != nil && p.epoch == f.epoch && p.contact != 0 && f.now < p.contact+contactFor
 }
 
-// deaf reports whether this machine has heard a majority, and does so no longer. It tells the others, who may
-// hear it: they are to do without it.
-func (f *Frame) deaf() bool {
-	most := len(f.Heard()) >= f.majority()
-	f.heardMost = f.heardMost || most
-	return f.heardMost && !most
-}
-
 // hung reports whether something has been on this disk for long, and is not known to be committed: it may be,
 // and acknowledged, and this machine alone has not been told.
 func (f *Frame) hung() bool {
--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -26,6 +26,7 @@
 	askAgain    = 120 * time.Millisecond  // those that have not answered a phase
 	slowSave    = 900 * time.Millisecond  // a save under way for so long makes the disk ill
 	healthyFor  = 1000 * time.Millisecond // and it is well again so long after the last such one
+	deafFor     = 2 * time.Second         // for a machine that is heard and doesn't answer: within sync_s
 	soundWait   = 450 * time.Millisecond  // for a machine of the chain to serve in its view
 	resendEvery = 300 * time.Millisecond  // of what goes down the chain
 	mendTime    = 500 * time.Millisecond  // that a change of the view may take before others are asked
@@ -96,6 +97,7 @@
 	Options
 	self  string
 	now   time.Duration
+	begun time.Duration
 	state State
 	since time.Duration // when the state began
 
@@ -115,7 +117,6 @@
 	peers     map[string]*peer
 	beatAt    time.Duration
 	beatsSent beatTimes
-	heardMost bool          // it has heard a majority in this life
 	heldSince time.Duration // when the version on disk came there
 	chain     []string      // of the view that serves, as far as known
 	epoch     uint64
@@ -164,6 +165,9 @@
 	along            time.Duration // when it was last in service in the same view
 	whole, ill       bool
 	leaving, joint   bool
+	id               uint64
+	misses           []string      // members that it does not hear
+	deaf             time.Duration // until then it is not asked for promises: it has answered none
 	epoch            uint64
 	generation       uint64
 	listEpoch, listN uint64
@@ -171,8 +175,9 @@
 
 // New returns a Frame.
 func New(now time.Duration, o Options) *Frame {
-	f := &Frame{Options: o, self: o.Self.Addr, now: now, rec: o.Disk, next: o.Disk, peers: map[string]*peer{},
-		asks: map[uint64]*ask{}, polls: map[string]poll{}, members: map[string]member{},
+	f := &Frame{Options: o, self: o.Self.Addr, now: now, begun: now, rec: o.Disk, next: o.Disk,
+		peers: map[string]*peer{},
+		asks:  map[uint64]*ask{}, polls: map[string]poll{}, members: map[string]member{},
 		candidates: map[string]*candidate{}, packs: map[[2]uint64]*signal.Packed{}, beatAt: now,
 		slow: -healthyFor, epoch: o.Disk.Epoch, chain: o.Disk.Chain, wishAt: now,
 		beatsSent: beatTimes{number: o.Life % (1 << 28) << 20}}
@@ -306,8 +311,8 @@
 	if f.state != InService {
 		return false
 	}
-	return quorate(func(addr string) bool {
-		return addr == f.self || f.inTouch(f.peers[addr])
+	return quorate(func(m signal.Machine) bool {
+		return f.is(m) && (m.Addr == f.self || f.inTouch(f.peers[m.Addr]))
 	}, f.next.voters()...)
 }
 
@@ -387,9 +392,10 @@
 
 // beat tells the others of the core how this machine is.
 func (f *Frame) beat() {
-	m := signal.Message{Kind: signal.Beat, OK: f.rec.Whole && f.next.Whole, Ill: f.sick() || f.deaf(),
+	m := signal.Message{Kind: signal.Beat, OK: f.rec.Whole && f.next.Whole, Ill: f.sick() || !f.hears(),
 		ID: f.rec.ID, Generation: f.rec.Generation, Joint: len(f.rec.Former) > 0, Leaving: f.leaving,
-		Beat: f.beatsSent.next(f.now), List: &signal.List{Epoch: f.list.Epoch, Seq: f.list.Seq}}
+		Misses: f.misses(), Beat: f.beatsSent.next(f.now),
+		List: &signal.List{Epoch: f.list.Epoch, Seq: f.list.Seq}}
 	if f.beatsSent.sent%membersEach == 0 {
 		m.Members = f.own()
 	}
@@ -404,6 +410,24 @@
 	}
 }
 
+// misses returns the members that this machine does not hear. After a start it gives them time.
+func (f *Frame) misses() (list []string) {
+	for _, m := range f.concerned() {
+		p := f.peers[m.Addr]
+		if m.Addr != f.self && f.now > f.begun+deadAfter && (p == nil || f.now > p.heard+deadAfter) {
+			list = append(list, m.Addr)
+		}
+	}
+	return list
+}
+
+// hears reports whether this machine hears a quorum. One that doesn't is of no use to those who hear it.
+func (f *Frame) hears() bool {
+	return quorate(func(m signal.Machine) bool {
+		return f.is(m) && (m.Addr == f.self || f.now < f.peers[m.Addr].heard+deadAfter)
+	}, f.rec.voters()...)
+}
+
 func (f *Frame) beaten(from string, m *signal.Message) {
 	if !f.admits(from, m) {
 		return
@@ -413,11 +437,15 @@
 		p = &peer{first: f.now}
 		f.peers[from] = p
 	}
+	heard := f.hears()
 	p.beat, p.beatCame = m.Beat, f.now
 	at, known := f.saidAt(m)
 	if !known {
 		at = 0
 	}
+	if p.id != m.ID { // what was heard is of another disk
+		p.contact = 0
+	}
 	p.touched(m.Epoch, at)
 	late := known && f.now >= at+deadAfter // it has waited on its way, and tells how the peer was, not how it is
 	if !late {
@@ -425,8 +453,12 @@
 			p.first = f.now
 		}
 		p.heard, p.whole, p.ill = f.now, m.OK, m.Ill
+		p.id, p.misses = m.ID, m.Misses
 		p.leaving, p.joint, p.generation = m.Leaving, m.Joint, m.Generation
 	}
+	if !heard && f.hears() {
+		f.beat() // who waits for this machine need not wait for its next beat
+	}
 	for _, x := range m.Members {
 		if known {
 			x.Age += uint64((f.now - at).Milliseconds())
--- a/exchange/frame/members.go
+++ b/exchange/frame/members.go
@@ -44,11 +44,11 @@
 }
 
 // quorate reports whether those that a condition holds for are a majority of each of some registries.
-func quorate(holds func(addr string) bool, registries ...[]signal.Machine) bool {
+func quorate(holds func(m signal.Machine) bool, registries ...[]signal.Machine) bool {
 	for _, registry := range registries {
 		n := 0
 		for _, m := range registry {
-			if holds(m.Addr) {
+			if holds(m) {
 				n++
 			}
 		}
@@ -96,6 +96,15 @@
 	f.save(nil)
 }
 
+// is reports whether the machine that is heard at a member's address, or this one, is that member.
+func (f *Frame) is(m signal.Machine) bool {
+	if m.Addr == f.self {
+		return m.ID == f.rec.ID
+	}
+	p := f.peers[m.Addr]
+	return p != nil && p.id == m.ID
+}
+
 // me is this machine with its present store.
 func (f *Frame) me() signal.Machine {
 	return signal.Machine{Addr: f.self, Zone: f.Self.Zone, ID: f.next.ID}
@@ -423,7 +432,7 @@
 	}
 	votes := 0
 	for _, m := range next {
-		if m.Addr == add || f.votes(m.Addr) {
+		if m.Addr == add || f.votes(m) {
 			votes++
 		}
 	}
--- a/exchange/frame/view.go
+++ b/exchange/frame/view.go
@@ -22,6 +22,7 @@
 	began    time.Duration
 	sent     time.Duration // when the phase's message went out last
 	promised map[string]bool
+	ids      map[string]uint64 // by which of its stores a machine has promised
 	has      map[string]bool
 	newest   Content // that was told
 	install  *signal.Message
@@ -52,7 +53,7 @@
 	}
 	want := f.wanted()
 	switch {
-	case !f.rec.Whole || len(want) == 0 || want[0] != f.self && f.first() != f.self:
+	case !f.rec.Whole || len(want) == 0 || f.first() != f.self:
 		f.wish = nil
 		return
 	case f.state == InService && slices.Equal(want, f.chain) && f.sound():
@@ -89,21 +90,40 @@
 	})
 }
 
-// first is the first live machine of the core in the agreed order.
-func (f *Frame) first() string {
+// first is the first live machine of the core in the agreed order, of those that serve in the newest view
+// where any do: who is not in it, or hears only some of those who are, waits until they take it in.
+func (f *Frame) first() (first string) {
+	newest := uint64(0)
 	for _, m := range f.rec.Registry {
-		if f.votes(m.Addr) {
-			return m.Addr
+		epoch := uint64(0)
+		switch p := f.peers[m.Addr]; {
+		case !f.votes(m):
+			continue
+		case m.Addr != f.self:
+			epoch = p.epoch
+		case f.state == InService:
+			epoch = f.epoch
+		}
+		if first == "" || epoch > newest {
+			first, newest = m.Addr, epoch
 		}
 	}
-	return ""
+	return first
 }
 
 // wanted is the chain that there should be, in the agreed order; nil where too few live for any.
 func (f *Frame) wanted() []string {
+	if want := f.wantedOf(true); want != nil {
+		return want
+	}
+	return f.wantedOf(false)
+}
+
+// wantedOf is that chain, without those that are heard and have not answered, or with them.
+func (f *Frame) wantedOf(answering bool) []string {
 	var want []string
 	for _, m := range f.rec.Registry {
-		if !f.live(m.Addr) {
+		if !f.live(m.Addr) || answering && m.Addr != f.self && f.now < f.peers[m.Addr].deaf {
 			continue
 		}
 		p := f.peers[m.Addr]
@@ -111,20 +131,31 @@
 			f.state == InService {
 			continue
 		}
-		want = append(want, m.Addr)
+		if !f.apart(m.Addr, want) {
+			want = append(want, m.Addr)
+		}
 	}
-	if !quorate(f.votes, f.rec.voters()...) || len(want) < f.least() {
+	votes := func(m signal.Machine) bool {
+		return f.votes(m) && (slices.Contains(want, m.Addr) || !at(f.rec.Registry, m.Addr))
+	}
+	if !quorate(votes, f.rec.voters()...) || len(want) < f.least() {
 		return nil
 	}
 	return want
 }
 
+// apart reports whether a machine and one of some others don't hear each other: they can't be in one chain.
+func (f *Frame) apart(addr string, others []string) bool {
+	deaf := func(a, b string) bool { return a != f.self && slices.Contains(f.peers[a].misses, b) }
+	return slices.ContainsFunc(others, func(o string) bool { return deaf(addr, o) || deaf(o, addr) })
+}
+
 // votes reports whether a member is heard, and has a vote.
-func (f *Frame) votes(addr string) bool {
-	if addr == f.self {
-		return f.live(addr) && f.rec.Whole
+func (f *Frame) votes(m signal.Machine) bool {
+	if m.Addr == f.self {
+		return f.is(m) && f.live(m.Addr) && f.rec.Whole
 	}
-	return f.live(addr) && f.peers[addr].whole
+	return f.is(m) && f.live(m.Addr) && f.peers[m.Addr].whole
 }
 
 // least is the fewest machines of a chain: what one of it acknowledges must outlive the loss of as many as
@@ -142,9 +173,9 @@
 		return // another registry is being saved
 	}
 	epoch := (max(f.next.Promised, f.epoch, f.floor)/epochStep+1)*epochStep + f.rec.Registry[i].Seat
-	r := &round{epoch: epoch, chain: want, began: f.now, promised: map[string]bool{}, has: map[string]bool{},
-		holds: map[string]holding{}, newest: f.rec.Content, registry: f.rec.Registry, former: f.rec.Former, gen: f.rec.Generation,
-		must: f.rec.voters()}
+	r := &round{epoch: epoch, chain: want, began: f.now, promised: map[string]bool{},
+		ids: map[string]uint64{}, has: map[string]bool{}, holds: map[string]holding{}, newest: f.rec.Content,
+		registry: f.rec.Registry, former: f.rec.Former, gen: f.rec.Generation, must: f.rec.voters()}
 	if change != nil {
 		r.registry, r.former = change, f.rec.Registry
 		r.chain = nil
@@ -161,7 +192,7 @@
 		r.gen = epoch
 	}
 	for _, m := range r.former {
-		if !at(r.registry, m.Addr) && f.votes(m.Addr) {
+		if !at(r.registry, m.Addr) && f.votes(m) {
 			r.leavers = append(r.leavers, m.Addr)
 		}
 	}
@@ -174,6 +205,7 @@
 		}
 		r.newest = f.rec.Content
 		f.sendRound()
+		r.ids[f.self] = f.rec.ID
 		f.promise(f.self)
 	})
 }
@@ -294,14 +326,15 @@
 		}
 		r.newest = told
 	}
+	r.ids[from] = m.ID
 	f.promise(from)
 }
 
 func (f *Frame) promise(from string) {
 	r := f.round
 	r.promised[from] = true
-	for _, addr := range r.all() {
-		if at(slices.Concat(r.must...), addr) && addr != r.fresh && f.votes(addr) && !r.promised[addr] {
+	for _, m := range slices.Concat(r.must...) {
+		if slices.Contains(r.all(), m.Addr) && f.votes(m) && !r.promised[m.Addr] {
 			return
 		}
 	}
@@ -310,7 +343,10 @@
 	}
 }
 
-func (r *round) hasPromised(addr string) bool { return r.promised[addr] }
+// hasPromised reports whether a member has, and not another disk at its address.
+func (r *round) hasPromised(m signal.Machine) bool {
+	return r.promised[m.Addr] && r.ids[m.Addr] == m.ID
+}
 
 // handOut gives the view to its machines: those that promised, and those that are to be mended.
 func (f *Frame) handOut() {
@@ -320,8 +356,10 @@
 		return !r.promised[addr] && addr != f.self && addr != r.fresh && (p == nil || p.whole)
 	})
 	r.leavers = slices.DeleteFunc(r.leavers, func(addr string) bool { return !r.promised[addr] })
-	installs := func(addr string) bool { return slices.Contains(r.all(), addr) }
-	serves := func(addr string) bool { return slices.Contains(r.chain, addr) }
+	serves := func(m signal.Machine) bool { return slices.Contains(r.chain, m.Addr) }
+	installs := func(m signal.Machine) bool {
+		return slices.Contains(r.leavers, m.Addr) || has(r.registry, m) && serves(m)
+	}
 	if !quorate(r.hasPromised, r.must...) || !quorate(serves, r.registry) ||
 		len(r.former) > 0 && !quorate(installs, r.former) || len(r.chain) < f.leastOf(r.registry) {
 		f.become(Aside)
@@ -464,6 +502,15 @@
 
 // late ends a phase that took too long, with those that have answered.
 func (f *Frame) late() {
+	answered := f.round.promised
+	if f.state == Installing {
+		answered = f.round.has
+	}
+	for _, addr := range f.round.all() {
+		if p := f.peers[addr]; p != nil && !answered[addr] {
+			p.deaf = f.now + deafFor
+		}
+	}
 	if f.state == Proposing && quorate(f.round.hasPromised, f.round.must...) {
 		f.handOut()
 		return
--- a/exchange/rehearsal/calls_test.go
+++ b/exchange/rehearsal/calls_test.go
@@ -179,6 +179,12 @@
 	{"Promise and Installed", []signal.Kind{signal.Promise, signal.Installed}, lifeAndEpoch, func(t *tape,
 		l lie) bool {
 		t.serves("z1-1")
+		b, c := t.Named("z2-1"), t.Named("z3-1") // they serve nothing: it is the one to propose a view
+		t.Cut(b, c, true)
+		for _, m := range []*Machine{b, c} {
+			m.Kill()
+			m.Start()
+		}
 		t.free = []signal.Kind{signal.Beat}
 		t.cut = true
 		t.anew()
@@ -206,6 +212,9 @@
 	}
 	s.Run(2 * time.Second)
 	tape := s.tape(name, kinds...)
+	if kinds[0] == signal.Promise { // all at once: otherwise those who serve take it in
+		s.restartAll()
+	}
 	tape.anew()
 	return tape
 }
@@ -373,23 +382,25 @@
 		s := given(t, 1)
 		m := s.Named("z3-1")
 		var told []letter
+		alone := false
 		s.Wire = func(from, to string, x *signal.Message) []Delivery {
 			if to == m.self.Addr && x.Kind == signal.Active {
 				told = append(told, letter{from, x})
 			}
-			if blind && to == m.self.Addr && x.Kind == signal.Beat {
+			if blind && alone && to == m.self.Addr && x.Kind == signal.Beat {
 				x.Epoch = 0
 			}
 			return []Delivery{{To: to, Message: x}}
 		}
 		m.Kill()
 		m.Start()
-		s.then("it serves", 6*time.Second, func() bool { return m.Frame().Fresh() && len(s.Chain()) == 3 || blind })
+		s.then("it serves", 6*time.Second, func() bool { return m.Frame().Fresh() && len(s.Chain()) == 3 })
 		s.Run(2 * time.Second)
+		alone = true
 		s.Isolate(m, true)
 		s.then("the others go on", 4*time.Second, func() bool { return len(s.Chain()) == 2 })
 		s.HealAll()
-		s.Run(400 * time.Millisecond)
+		s.Run(170 * time.Millisecond) // it has heard them, and would not have asked for another view yet
 		for _, l := range told {
 			s.deliver(l.from, Delivery{To: m.self.Addr, Message: l.m})
 		}
--- a/exchange/rehearsal/members_test.go
+++ b/exchange/rehearsal/members_test.go
@@ -647,3 +647,29 @@
 	}
 	return x.consistent()
 }
+
+// Given a machine of the core that is heard and hears nobody, or not one of the others, when changes go on
+// for ten seconds, then none is held up, and it is back when the cut ends.
+func TestAMachineThatIsHeardAndHearsNobodyIsLeftOut(t *testing.T) {
+	for _, name := range []string{"z1-1", "z2-1", "z3-1"} {
+		for _, from := range []string{"", "z1-1", "z2-1", "z3-1"} {
+			s := given(t, 1)
+			deaf := s.Named(name)
+			for _, m := range s.Machines {
+				s.CutOneWay(m, deaf, m != deaf && (from == "" || from == m.Name))
+			}
+			s.Run(2 * time.Second)
+			held, n := time.Duration(0), 0
+			for end := s.Now + 10*time.Second; s.Now < end; n++ {
+				if took := s.change(s.Named("z3-2")); took > 100*time.Millisecond {
+					held += took
+				}
+			}
+			if held > 0 {
+				t.Errorf("%s hears nothing of %q: held up for %v of 10 s, %d changes", name, from, held, n)
+			}
+			s.HealAll()
+			s.then("it is back", 4*time.Second, func() bool { return s.Spare() == 1 && deaf.Version() == s.version })
+		}
+	}
+}
