--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -421,9 +421,10 @@
 	return list
 }
 
-// hears reports whether this machine hears a quorum. One that doesn't is of no use to those who hear it.
+// hears reports whether this machine hears a quorum, or may yet after its start. One that doesn't is of no use
+// to those who hear it.
 func (f *Frame) hears() bool {
-	return quorate(func(m signal.Machine) bool {
+	return f.now <= f.begun+deadAfter || quorate(func(m signal.Machine) bool {
 		return f.is(m) && (m.Addr == f.self || f.now < f.peers[m.Addr].heard+deadAfter)
 	}, f.rec.voters()...)
 }
