Have a process that is told to stop wait for its successor in the core, where one is there

Cause: a process without clients ended at once, before a spare machine could take its place: the core was one member short until the spare had waited for half of sync_s.

--- a/exchange/frame/members.go
+++ b/exchange/frame/members.go
@@ -455,6 +455,19 @@
 	f.beat()
 }
 
+// HandsOver reports whether this machine is about to be replaced: it leaves, and another one waits.
+func (f *Frame) HandsOver() bool {
+	if !f.leaving || !f.next.Whole || len(f.next.Registry) == 0 {
+		return false
+	}
+	for _, c := range f.candidates {
+		if f.now <= c.heard+deadAfter && !has(f.rec.Registry, c.Machine) {
+			return true
+		}
+	}
+	return false
+}
+
 // Spare is how many machines of the core may be lost now with nothing lost and a view that serves again; 0
 // on one that does not know that a view serves. A repair has ended once it is what is to be borne.
 func (f *Frame) Spare() int {
--- a/exchange/office/office.go
+++ b/exchange/office/office.go
@@ -286,6 +286,9 @@
 	}
 }
 
+// HandsOver reports whether another machine is about to take this one's place in the core.
+func (f *Office) HandsOver() bool { return f.frame != nil && f.frame.HandsOver() }
+
 // Put hands a configuration to the core.
 func (f *Office) Put(now time.Duration, version uint64, config []byte, done func(*signal.Message)) {
 	f.ext.Put(now, version, config, done)
--- a/exchange/plant/plant.go
+++ b/exchange/plant/plant.go
@@ -59,6 +59,7 @@
 	serverPart  = 0.35                   // of the descriptors, for connections to servers
 	setAside    = 320                    // descriptors for the rest, and those kept for files
 	controlMost = 96                     // connections of operators and checks
+	handWait    = time.Second            // for a successor in the core, at the end
 	closeLimit  = 500 * time.Millisecond // for the disk, at the end
 	holdAnswer  = 64 << 10               // bytes of an answer that is held until it is whole
 )
@@ -117,6 +118,7 @@
 	if p.clients != nil {
 		p.clients.Drain()
 	}
+	p.handOver()
 	p.trunk.Close()
 	if p.vault != nil {
 		err = p.vault.Close(closeLimit)
@@ -133,6 +135,17 @@
 	p.log.V(e.Level).Info(e.Text, append([]any{"event", e.Number}, pairs...)...)
 }
 
+// handOver waits until another machine has taken this one's place in the core, where one is there to.
+func (p *Plant) handOver() {
+	for end := time.Now().Add(handWait); time.Now().Before(end); time.Sleep(openEvery) {
+		hands := make(chan bool, 1)
+		p.loop.do(func() { hands <- p.office.HandsOver() })
+		if !<-hands {
+			return
+		}
+	}
+}
+
 // lostAfter is for how long a machine of the core must be silent before another one takes its place: that has
 // to have it within sync_s of its start.
 func (p *Plant) lostAfter() time.Duration {
--- a/exchange/rehearsal/members_test.go
+++ b/exchange/rehearsal/members_test.go
@@ -288,14 +288,23 @@
 	head := s.Named("z1-1")
 	c := s.Put(s.Named("z3-2"), s.version+1)
 	head.office.Leave(s.Now)
+	if !head.office.HandsOver() {
+		t.Error("its process doesn't wait for the other")
+	}
 	s.then("the other has taken its place", 500*time.Millisecond, func() bool { return s.member(spare) })
-	s.then("it knows", 100*time.Millisecond, func() bool { return !head.record.Whole })
+	s.then("it knows", 100*time.Millisecond, func() bool {
+		return !head.record.Whole && !head.office.HandsOver()
+	})
 	if s.Until(func() bool { return c.Ended }, time.Second); !c.Acked {
 		t.Error("a change in the midst of it is not acknowledged")
 	}
 	s.version++
 	head.Kill()
+	s.Run(time.Second)
 	s.Named("z2-1").office.Leave(s.Now)
+	if s.Named("z2-1").office.HandsOver() {
+		t.Error("its process waits for nobody")
+	}
 	s.Run(time.Second)
 	if !slices.Contains(s.Members(), s.Named("z2-1").self.Addr) {
 		t.Errorf("one has left without a successor: %v", s.Members())
