--- a/exchange/rehearsal/members_test.go
+++ b/exchange/rehearsal/members_test.go
@@ -94,9 +94,9 @@
 	}
 }
 
-// replacing plays a replacement under changes until a moment: one of the core is gone for good, and a newcomer
-// has started, at a new address or, with an empty disk, at the same. Without a moment it plays until that is a
-// member.
+// replacing plays a replacement under changes until a moment: one of the core is gone for good, and a
+// newcomer has started, at a new address or, with an empty disk, at the same. Without a moment it plays
+// until that is a member.
 func replacing(t *testing.T, until time.Duration, same bool) (s *story, fresh *Machine) {
 	t.Helper()
 	s = given(t, 1)
@@ -723,9 +723,9 @@
 	}
 }
 
-// Given a member whose disk is lost while a second one takes no view, when another disk is to be the member at its
-// address, then the change is not complete before that second one has it: the vote of the new disk is not the
-// old one's. Counted as that, it is found.
+// Given a member whose disk is lost while a second one takes no view, when another disk is to be the member
+// at its address, then the change is not complete before that second one has it: the vote of the new disk
+// is not the old one's. Counted as that, it is found.
 func TestAnotherDiskIsNotTheMemberBefore(t *testing.T) {
 	play := func(spoil func(*Machine, *frame.Record)) (complete bool, wrong string) {
 		s := given(t, 1)
