--- a/exchange/rehearsal/changes_test.go
+++ b/exchange/rehearsal/changes_test.go
@@ -84,7 +84,8 @@
 	}, 10*time.Second)
 	a.took, a.bytes = s.Now-began, s.Bytes-from-int(float64(quiet)*(s.Now-began).Seconds())
 	if !ok {
-		a.found = fmt.Sprintf("after %v it has r%d in state %v", a.took, m.Frame().Record().Version, m.Frame().State())
+		a.found = fmt.Sprintf("after %v it has r%d in state %v", a.took, m.Frame().Record().Version,
+			m.Frame().State())
 	}
 	change()
 	for _, other := range s.Disked() {
@@ -100,16 +101,16 @@
 	}
 }
 
-// The states that a disk may come back in. One whose record has another digest than it was written with counts
-// as empty: see vault.Damaged.
+// The states that a disk may come back in. One whose record has another digest than it was written with
+// counts as empty: see vault.Damaged.
 var disks = map[string]func(*frame.Record){
 	"old":            nil,
 	"torn, or empty": func(r *frame.Record) { *r = frame.Record{} },
 }
 
-// Given a core under changes, when a machine was away for one, two hundred or a thousand of them, and its disk is
-// old, torn or empty, then it serves with the others within three seconds and the bytes of a few texts and lists
-// of numbers, however many it missed, and was in service with nothing older than the newest.
+// Given a core under changes, when a machine was away for one, two hundred or a thousand of them, and its
+// disk is old, torn or empty, then it serves with the others within three seconds and the bytes of a few
+// texts and lists of numbers, however many it missed, and was in service with nothing older than the newest.
 func TestAMachineThatWasAwayCatchesUp(t *testing.T) {
 	const numbers = 512 * 26 // the numbers taken last, with their digests
 	text := len(signal.Encode(nil, signal.Pack([]byte(textOf(100, few)), 0, nil)))
@@ -150,8 +151,8 @@
 	}
 }
 
-// Seeded defect: a disk that tells an old configuration as accepted under a later epoch than all others, as one
-// would that is stamped anew without an agreement. The test above finds that it leads with old state.
+// Seeded defect: a disk that tells an old configuration as accepted under a later epoch than all others, as
+// one would that is stamped anew without an agreement. The test above finds that it leads with old state.
 func TestAMachineThatWasAwayFinds(t *testing.T) {
 	a := &absence{name: "z1-1", items: few, missed: 20, disk: func(r *frame.Record) { r.Stamp = 1 << 40 }}
 	if a.play(t); a.found == "" {
--- a/exchange/signal/ranges.go
+++ b/exchange/signal/ranges.go
@@ -7,10 +7,10 @@
 	"hash/crc32"
 )
 
-// A long configuration is cut into ranges, whose ends follow from the items in them alone: a change of an item
-// changes its range, and leaves all others as they are, wherever they move. The disk keeps ranges by their
-// digests, so that a change writes only what is new; and a machine that is behind tells the digests of what it
-// has, whatever that is, and is sent the ranges that differ.
+// A long configuration is cut into ranges, whose ends follow from the items in them alone: a change of an
+// item changes its range, and leaves all others as they are, wherever they move. The disk keeps ranges by
+// their digests, so that a change writes only what is new; and a machine that is behind tells the digests of
+// what it has, whatever that is, and is sent the ranges that differ.
 
 // Sizes of ranges, in items and bytes.
 const (
@@ -51,8 +51,8 @@
 	}
 }
 
-// Outline returns the digests and lengths of a text's ranges: some twenty bytes for eight thousand. It is what a
-// machine tells of the text that it has.
+// Outline returns the digests and lengths of a text's ranges: some twenty bytes for eight thousand. It is
+// what a machine tells of the text that it has.
 func Outline(text []byte) []byte {
 	var b []byte
 	Ranges(text, func(part []byte) {
--- a/exchange/vault/changes_test.go
+++ b/exchange/vault/changes_test.go
@@ -24,8 +24,8 @@
 
 func newHistory(routes int) *history {
 	h := &history{rng: rand.New(rand.NewPCG(7, 7)), items: make([][]byte, routes),
-		r: frame.Record{Whole: true, Registry: []signal.Machine{{Addr: "a"}, {Addr: "b"}, {Addr: "c"}}, Promised: 64,
-			Epoch: 64, Chain: []string{"a", "b", "c"}, Content: frame.Content{Stamp: 64}}}
+		r: frame.Record{Whole: true, Registry: []signal.Machine{{Addr: "a"}, {Addr: "b"}, {Addr: "c"}},
+			Promised: 64, Epoch: 64, Chain: []string{"a", "b", "c"}, Content: frame.Content{Stamp: 64}}}
 	for i := range h.items {
 		h.items[i] = h.route(i)
 	}
@@ -33,9 +33,10 @@
 }
 
 func (h *history) route(i int) []byte {
-	return fmt.Appendf(nil, `{"item_kind":"routes","metadata":{"name":"route-%d"},"desired":{"domain":"%x.example",`+
-		`"path_start":"/%x/","backend":"service-%d","wait_s":%d,"labels":{"team":"team-%x","note":"%x-%x"}}},`, i,
-		h.rng.Uint64(), h.rng.Uint32(), h.rng.IntN(830), h.rng.IntN(30), h.rng.Uint32(), h.rng.Uint64(), h.rng.Uint64())
+	return fmt.Appendf(nil, `{"item_kind":"routes","metadata":{"name":"route-%d"},`+
+		`"desired":{"domain":"%x.example","path_start":"/%x/","backend":"service-%d","wait_s":%d,"labels":{"team":"team-%x","note":"%x-%x"}}},`, i,
+		h.rng.Uint64(), h.rng.Uint32(), h.rng.IntN(830), h.rng.IntN(30), h.rng.Uint32(), h.rng.Uint64(),
+		h.rng.Uint64())
 }
 
 // next changes items, and returns the record to be saved.
@@ -62,8 +63,8 @@
 	return size
 }
 
-// changes saves a history of n changes of so many items each, and returns the most that its folder took in each half of it, and how long the
-// last opening took.
+// changes saves a history of n changes of so many items each, and returns the most that its folder took in
+// each half of it, and how long the last opening took.
 func changes(t testing.TB, routes, each, n int) (first, second int64, opening time.Duration) {
 	dir, h := t.TempDir(), newHistory(routes)
 	v, _, err := Open(dir)
--- a/exchange/vault/crash_test.go
+++ b/exchange/vault/crash_test.go
@@ -94,16 +94,16 @@
 	rng := rand.New(rand.NewPCG(uint64(i), 3))
 	var config []byte
 	for n := range 20 + rng.IntN(100) {
-		config = fmt.Appendf(config, `{"item_kind":"routes","metadata":{"name":"%d-%d"},"desired":{"x":"%x"}},`, i, n,
-			rng.Uint64())
+		config = fmt.Appendf(config, `{"item_kind":"routes","metadata":{"name":"%d-%d"},"desired":{"x":"%x"}},`, i,
+			n, rng.Uint64())
 	}
 	if i%3 == 0 { // as the one before, but for its epoch
 		r := record(i - 1)
 		r.Promised, r.Epoch = uint64(64*i), uint64(64*i)
 		return r
 	}
-	return frame.Record{Whole: true, Registry: []signal.Machine{{Addr: "a", Zone: "z"}}, Promised: uint64(64 * i),
-		Epoch: uint64(64 * i), Chain: []string{"a", "b"}, Content: frame.Content{Stamp: uint64(64 * i),
+	return frame.Record{Whole: true, Registry: []signal.Machine{{Addr: "a", Zone: "z"}},
+		Promised: uint64(64 * i), Epoch: uint64(64 * i), Chain: []string{"a", "b"}, Content: frame.Content{Stamp: uint64(64 * i),
 			Version: uint64(i), Config: config,
 			Past: []signal.Taken{{Version: uint64(i), Digest: frame.DigestOf(config)}}}}
 }
@@ -304,8 +304,8 @@
 	}
 }
 
-// Given a disk that takes nothing, when a machine starts on it, then it has the record that is there, its saves
-// fail, and once the disk is well they don't. The same at each change that opening makes.
+// Given a disk that takes nothing, when a machine starts on it, then it has the record that is there, its
+// saves fail, and once the disk is well they don't. The same at each change that opening makes.
 func TestAStartOnADiskThatTakesNothing(t *testing.T) {
 	for _, saves := range []int{0, 1, 14} {
 		old := newDisk()
@@ -529,8 +529,8 @@
 	t.Log(found)
 }
 
-// Given a store of which any file is cut off, altered or gone, when a machine starts on it, then it is told as
-// damaged, or what it serves was saved once, all of it.
+// Given a store of which any file is cut off, altered or gone, when a machine starts on it, then it is told
+// as damaged, or what it serves was saved once, all of it.
 func TestAFileThatIsNotAsItWasWritten(t *testing.T) {
 	d := newDisk()
 	v, _, err := open("data", d.ways())
--- a/exchange/vault/disk.go
+++ b/exchange/vault/disk.go
@@ -16,8 +16,8 @@
 	around around
 }
 
-// around does an operation, or doesn't. Reads of files go through it too, since they must not meet a file that
-// was closed.
+// around does an operation, or doesn't. Reads of files go through it too, since they must not meet a file
+// that was closed.
 type around func(o op, do func() error) error
 
 // op says what an operation does to the disk.
@@ -194,8 +194,8 @@
 	return do(), false
 }
 
-// shut keeps all that still runs of the store off the disk, so that another can be opened over the same files.
-// It waits for what is under way there: a disk that hangs is waited for.
+// shut keeps all that still runs of the store off the disk, so that another can be opened over the same
+// files. It waits for what is under way there: a disk that hangs is waited for.
 func (f *fence) shut() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/exchange/vault/store.go
+++ b/exchange/vault/store.go
@@ -102,8 +102,8 @@
 	past    signal.Sum
 }
 
-// openStore opens the store at a path, and reads the record in it. With errRefused the store comes too, and is
-// being opened yet: see wait.
+// openStore opens the store at a path, and reads the record in it. With errRefused the store comes too, and
+// is being opened yet: see wait.
 func openStore(path string, w ways, readOnly bool) (*store, error) {
 	s := &store{ways: w, broken: make(chan struct{})}
 	s.fence = fence{refused: make(chan struct{}, 1), broken: s.breaks, pause: w.pause}
@@ -196,8 +196,8 @@
 	s.content.Store(nil)
 }
 
-// damaged reports whether an error tells that what is on the disk is not what was written there, as opposed to
-// a disk that can't be read or written now.
+// damaged reports whether an error tells that what is on the disk is not what was written there, as opposed
+// to a disk that can't be read or written now.
 func damaged(err error) bool {
 	return err != nil && (errors.Is(err, ErrDamaged) || pebble.IsCorruptionError(err) ||
 		errors.Is(err, fs.ErrNotExist) || strings.Contains(err.Error(), "object size mismatch"))
--- a/exchange/vault/vault.go
+++ b/exchange/vault/vault.go
@@ -128,8 +128,8 @@
 
 func (v *Vault) path() string { return filepath.Join(v.dir, storeName) }
 
-// Damaged tells why the store that Open found could not be read whole, so that the machine has to be mended as
-// after the loss of its disk; nil if it could.
+// Damaged tells why the store that Open found could not be read whole, so that the machine has to be mended
+// as after the loss of its disk; nil if it could.
 func (v *Vault) Damaged() error { return v.damaged }
 
 // hold takes the folder's lock.
