--- a/exchange/signal/ranges_test.go
+++ b/exchange/signal/ranges_test.go
@@ -23,8 +23,8 @@
 
 func route(rng *rand.Rand, i int) []byte {
 	return fmt.Appendf(nil, `{"item_kind":"routes","metadata":{"name":"route-%d"},`+
-		`"desired":{"domain":"%x.example","path_start":"/%x/","backend":"service-%d","wait_s":%d}},`, i, rng.Uint64(), rng.Uint32(), rng.IntN(830),
-		rng.IntN(30))
+		`"desired":{"domain":"%x.example","path_start":"/%x/","backend":"service-%d","wait_s":%d}},`,
+		i, rng.Uint64(), rng.Uint32(), rng.IntN(830), rng.IntN(30))
 }
 
 // Given any two texts, related by edits or not, when one is packed over the outline of the other, then the
--- a/exchange/vault/changes_test.go
+++ b/exchange/vault/changes_test.go
@@ -34,7 +34,8 @@
 
 func (h *history) route(i int) []byte {
 	return fmt.Appendf(nil, `{"item_kind":"routes","metadata":{"name":"route-%d"},`+
-		`"desired":{"domain":"%x.example","path_start":"/%x/","backend":"service-%d","wait_s":%d,"labels":{"team":"team-%x","note":"%x-%x"}}},`, i,
+		`"desired":{"domain":"%x.example","path_start":"/%x/","backend":"service-%d","wait_s":%d,`+
+		`"labels":{"team":"team-%x","note":"%x-%x"}}},`, i,
 		h.rng.Uint64(), h.rng.Uint32(), h.rng.IntN(830), h.rng.IntN(30), h.rng.Uint32(), h.rng.Uint64(),
 		h.rng.Uint64())
 }
--- a/exchange/vault/store.go
+++ b/exchange/vault/store.go
@@ -68,10 +68,11 @@
 
 // ways are how a store gets at its disk.
 type ways struct {
-	fs     vfs.FS
-	pause  func() // until a change that was refused is tried again
-	now    func() time.Time
-	memory uint64                                     // bytes of changes that are held before they become a table
+	fs    vfs.FS
+	pause func() // until a change that was refused is tried again
+	now   func() time.Time
+	// memory is how many bytes of changes are held before they become a table.
+	memory uint64
 	commit func(db *pebble.DB, b *pebble.Batch) error // writes all of a batch or nothing, and syncs it
 	same   func(sum signal.Sum, text []byte) bool     // holds what was read to its digest
 }
