Take over a store of the form that there was before records had digests

Cause: a store of the program before was refused, so that a machine of a deployment in service could not start on it. Change: its record is read, and the first save writes all of it anew; what there was before goes with the same batch. Checked: TestAStoreOfAnEarlierFormIsTakenOver.

--- a/exchange/vault/store.go
+++ b/exchange/vault/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"errors"
 	"io/fs"
 	"slices"
@@ -28,9 +27,6 @@
 	errBroken  = errors.New("vault: the store can't go on")
 )
 
-// errForm tells of a store of the form that there was before records had digests.
-var errForm = errors.New("vault: the store is of an earlier form")
-
 // Keys of the store. The head tells the digests of the list of ranges and of the numbers taken, and that list
 // those of the ranges, so that what is read is what was written together, or is told as damaged.
 var (
@@ -38,6 +34,10 @@
 	keyRanges = []byte("ranges") // the digests of the configuration's ranges, in order
 	keyPast   = []byte("past")   // the numbers taken last
 	keyRange  = "range/"         // and a digest: that range
+
+	// Of the form that there was before records had digests: a head without them, and the configuration.
+	keyEarlier       = []byte("record")
+	keyEarlierConfig = []byte("config")
 )
 
 // head is a record as it is written, without the configuration and the numbers taken.
@@ -62,6 +62,19 @@
 	Seeds      []string         `pb:"34"` // of it
 }
 
+// record is the record of a head, with what it holds.
+func (h *head) record(c frame.Content) frame.Record {
+	return frame.Record{Whole: h.Whole, Registry: h.Registry, Promised: h.Promised, Epoch: h.Epoch,
+		Chain: h.Chain, Content: c, ID: h.ID, Generation: h.Generation, Former: h.Former,
+		Founding: frame.Founding{Sure: h.Sure, Seeds: h.Seeds, Pledged: h.Pledged, Ballot: h.Ballot,
+			Draft: h.Draft}}
+}
+
+type earlierConfig struct {
+	Version uint64 `pb:"1"`
+	Config  []byte `pb:"2"`
+}
+
 type storedPast struct {
 	Past []signal.Taken `pb:"1"`
 }
@@ -101,6 +114,7 @@
 	content atomic.Pointer[frame.Content] // as it is in the store; nil: not known
 	ranges  []byte
 	past    signal.Sum
+	earlier bool // it is of the form that there was before, until the first save
 }
 
 // openStore opens the store at a path, and reads the record in it. With errRefused the store comes too, and
@@ -231,10 +245,7 @@
 func (s *store) read() (frame.Record, error) {
 	b, err := s.get(keyHead)
 	if errors.Is(err, pebble.ErrNotFound) {
-		if _, err = s.get([]byte("record")); errors.Is(err, pebble.ErrNotFound) {
-			return frame.Record{}, nil
-		}
-		return frame.Record{}, cmp.Or(err, errForm)
+		return s.readEarlier()
 	}
 	if err != nil {
 		return frame.Record{}, err
@@ -267,10 +278,27 @@
 	c := frame.Content{Stamp: h.Stamp, Version: h.Version, Config: slices.Clip(config), Past: p.Past}
 	s.content.Store(&c)
 	s.ranges, s.past = ranges, signal.Sum(h.Past)
-	return frame.Record{Whole: h.Whole, Registry: h.Registry, Promised: h.Promised, Epoch: h.Epoch,
-		Chain: h.Chain, Content: c, ID: h.ID, Generation: h.Generation, Former: h.Former,
-		Founding: frame.Founding{Sure: h.Sure, Seeds: h.Seeds, Pledged: h.Pledged, Ballot: h.Ballot,
-			Draft: h.Draft}}, nil
+	return h.record(c), nil
+}
+
+// readEarlier reads a record of the earlier form; the zero one from an empty store. The first save writes all
+// of it anew.
+func (s *store) readEarlier() (frame.Record, error) {
+	var h head
+	var c earlierConfig
+	for key, into := range map[*[]byte]any{&keyEarlier: &h, &keyEarlierConfig: &c} {
+		b, err := s.get(*key)
+		switch {
+		case errors.Is(err, pebble.ErrNotFound):
+			continue
+		case err != nil:
+			return frame.Record{}, err
+		case signal.Decode(b, into) != nil:
+			return frame.Record{}, trace.Wrap(ErrDamaged, "%s can't be read", *key)
+		}
+		s.earlier = true
+	}
+	return h.record(frame.Content{Version: c.Version, Config: c.Config}), nil
 }
 
 func rangeKey(sum []byte) []byte { return append([]byte(keyRange), sum...) }
@@ -293,6 +321,10 @@
 		past = signal.SumOf(text)
 		set(keyPast, text)
 	}
+	if s.earlier {
+		b.Delete(keyEarlier, nil)
+		b.Delete(keyEarlierConfig, nil)
+	}
 	list := signal.SumOf(ranges)
 	text := signal.Encode(nil, &head{Whole: r.Whole, Registry: r.Registry, Promised: r.Promised, Epoch: r.Epoch,
 		Chain: r.Chain, Version: r.Version, Pledged: r.Founding.Pledged, Ballot: r.Founding.Ballot,
@@ -307,7 +339,7 @@
 		return trace.Wrap(err)
 	}
 	s.content.Store(&r.Content)
-	s.ranges, s.past = ranges, past
+	s.ranges, s.past, s.earlier = ranges, past, false
 	return nil
 }
 
--- a/exchange/vault/vault_test.go
+++ b/exchange/vault/vault_test.go
@@ -1,11 +1,13 @@
 package vault
 
 import (
+	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/pebble/v2"
 	"github.com/gravitational/trace"
 
 	"dunespoke/exchange/frame"
@@ -115,3 +117,42 @@
 		t.Errorf("no store: %v", err)
 	}
 }
+
+// Given the store of a machine that ran an earlier program, when it is opened, then the record is there, and
+// the first save writes it in the form that there is now.
+func TestAStoreOfAnEarlierFormIsTakenOver(t *testing.T) {
+	dir := t.TempDir()
+	db, err := pebble.Open(filepath.Join(dir, storeName), &pebble.Options{Logger: quiet{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := frame.Record{Whole: true, Registry: []signal.Machine{{Addr: "a", Zone: "z"}}, Promised: 192, Epoch: 128,
+		Chain: []string{"a"}, Content: frame.Content{Version: 7, Config: []byte("text")}}
+	for key, v := range map[*[]byte]any{
+		&keyEarlier: &head{Whole: true, Registry: want.Registry, Promised: 192, Epoch: 128, Chain: want.Chain,
+			Version: 7},
+		&keyEarlierConfig: &earlierConfig{7, want.Config}} {
+		if err := db.Set(*key, signal.Encode(nil, v), pebble.Sync); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := db.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for _, stamp := range []uint64{0, 256} {
+		v, got, err := Open(dir)
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("%+v, %v; want %+v", got, err, want)
+		}
+		_, err = v.store.get(keyEarlier)
+		if earlier := err == nil; earlier != (stamp == 0) {
+			t.Errorf("what there was before is there: %v", earlier)
+		}
+		saved := make(chan bool)
+		want.Stamp = 256
+		v.Save(want, func(ok bool) { saved <- ok })
+		if !<-saved || v.Close(time.Minute) != nil {
+			t.Fatal("not saved")
+		}
+	}
+}
