--- a/exchange/vault/vault_test.go
+++ b/exchange/vault/vault_test.go
@@ -126,8 +126,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := frame.Record{Whole: true, Registry: []signal.Machine{{Addr: "a", Zone: "z"}}, Promised: 192, Epoch: 128,
-		Chain: []string{"a"}, Content: frame.Content{Version: 7, Config: []byte("text")}}
+	want := frame.Record{Whole: true, Registry: []signal.Machine{{Addr: "a", Zone: "z"}}, Promised: 192,
+		Epoch: 128, Chain: []string{"a"}, Content: frame.Content{Version: 7, Config: []byte("text")}}
 	for key, v := range map[*[]byte]any{
 		&keyEarlier: &head{Whole: true, Registry: want.Registry, Promised: 192, Epoch: 128, Chain: want.Chain,
 			Version: 7},
