Keep a connection whose answer is here before its writer runs on

Since a connection is kept only once its request has gone out whole, it was ended as answered-early whenever the answer was read before the goroutine that had written the request ran on: on a busy core 56 to 149 of some 470 requests dialled anew (idle core: 1). Besides, the end of an answer went to the client before the connection came to rest. Change: the reader waits for a write that is about to return, for 2 ms at most, as long as connections rest anyway; and the end of an answer goes out last, by itself, so that a slow reader holds up nobody whom the connection serves next. Without the wait, or with the end first, the two new tests fail.

--- a/exchange/line/faults_test.go
+++ b/exchange/line/faults_test.go
@@ -717,3 +717,28 @@
 		}
 	}
 }
+
+// busy is a connection whose writer hears only a while after that its bytes have left, as on a busy core.
+type busy struct {
+	*wire
+	after time.Duration
+}
+
+func (l busy) Write(p []byte) (int, error) {
+	n, err := l.wire.Write(p)
+	time.Sleep(l.after)
+	return n, err
+}
+
+// Given answers that are here before their requests' writers run on, then the connection is kept; and if the
+// writer is still held up when a connection would have rested, it counts as answered early, and is not. (The
+// second request is the first to race: a new connection is read only once its first request is written.)
+func TestAnAnswerBeforeItsWriterRunsOnKeepsTheConnection(t *testing.T) {
+	for after, want := range map[time.Duration]int{0: 1, time.Millisecond: 1, 5 * time.Millisecond: 2} {
+		d := play(t, trouble{Alone: true, Asks: [][]ask{{writing, writing, writing}},
+			Wire: func(w *wire) net.Conn { return busy{w, after} }})
+		if len(d.wires) != want || len(d.problems) > 0 {
+			t.Errorf("%v late: %d connections, want %d; %q", after, len(d.wires), want, d.problems)
+		}
+	}
+}
--- a/internal/net/forward/forward.go
+++ b/internal/net/forward/forward.go
@@ -398,6 +398,9 @@
 	if err == nil {
 		err = c.broke
 	}
+	if x.stream == nil {
+		c.tell()
+	}
 	c.mu.Unlock()
 	if err == nil {
 		x.attach(c)
@@ -432,9 +435,10 @@
 	held    []byte         // and what has come of its body
 	parser  http1.Parser
 	out     []byte
-	x       *exchange // nil while idle
-	writing bool      // the request is on its way out
-	broke   error     // what the reader met meanwhile
+	x       *exchange     // nil while idle
+	writing bool          // the request is on its way out
+	awaits  chan struct{} // closed once it has gone out whole; nil: the reader does not wait for that
+	broke   error         // what the reader met meanwhile
 	ended   bool
 	shut    sync.Once
 	foreign bool // an answer has come that is not the request's. The reader's
@@ -559,7 +563,7 @@
 			c.told(r.Header)
 		}
 	}
-	beyond, early := c.frames.Buffered() > 0, c.writing
+	x, beyond := c.x, c.frames.Buffered() > 0
 	c.mu.Unlock()
 	switch {
 	case err != nil:
@@ -579,14 +583,14 @@
 		c.finish(result, "unasked-bytes")
 		return false
 	}
-	if early { // the rest of the request would be taken for the next
-		c.finish(result, "answered-early")
-		return false
-	}
 	if r.Close || readErr != nil || !r.ProtoAtLeast(1, 1) {
 		c.finish(result, "server-closed")
 		return false
 	}
+	if x != nil && !c.sentAll(x) { // the rest of the request would be taken for the next
+		c.finish(result, "answered-early")
+		return false
+	}
 	x, ended := c.rest()
 	if x != nil {
 		x.over(result)
@@ -594,6 +598,46 @@
 	return !ended
 }
 
+// gone reports whether the request has gone out whole, and nobody writes to the connection any more. The lock
+// is held.
+func (c *conn) gone(x *exchange) bool {
+	if x.stream != nil {
+		return x.stream.sent.Load()
+	}
+	return !c.writing
+}
+
+// tell wakes the reader that waits for the request to have gone out. The lock is held.
+func (c *conn) tell() {
+	if c.awaits != nil {
+		close(c.awaits)
+		c.awaits = nil
+	}
+}
+
+// sentAll reports whether the request has gone out whole. An answer may be here before the goroutine that
+// wrote the last byte runs on: on a busy core that is no sign that the server has answered early, and the
+// connection is good. So it is waited for, as long as a connection rests anyway.
+func (c *conn) sentAll(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gone(x) || x.stream != nil && x.stream.part.Load() {
+		return c.gone(x)
+	}
+	told := make(chan struct{})
+	c.awaits = told
+	c.mu.Unlock()
+	late := time.NewTimer(settleTime)
+	defer late.Stop()
+	select {
+	case <-told:
+	case <-late.C:
+	}
+	c.mu.Lock()
+	c.awaits = nil
+	return c.gone(x)
+}
+
 // rest makes a connection idle whose answer has come whole.
 func (c *conn) rest() (x *exchange, ended bool) {
 	c.mu.Lock()
--- a/internal/net/forward/forward_test.go
+++ b/internal/net/forward/forward_test.go
@@ -1,12 +1,17 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"dunespoke/choice"
 	"dunespoke/core"
 	"dunespoke/internal/flow"
@@ -125,3 +130,71 @@
 		t.Errorf("%q has left", b)
 	}
 }
+
+// greeting is a request whose answer is passed on as it comes.
+type greeting struct{ hello }
+
+func (greeting) Upload() *transfer.Upload { return transfer.Whole(nil) }
+func (greeting) Terms() *transfer.Terms   { return &transfer.Terms{} }
+func (greeting) Method() string           { return http.MethodGet }
+
+// reader is a client that takes an answer's end only once it is let.
+type reader struct {
+	ended chan struct{}
+	let   chan struct{}
+}
+
+func (reader) Head(*transfer.Reply) error { return nil }
+func (reader) Write([]byte) error         { return nil }
+func (reader) Flush() error               { return nil }
+func (reader) Cut()                       {}
+func (reader) Fail()                      {}
+func (reader) Room() *flow.Transfer       { return nil }
+func (r reader) End([]byte) {
+	r.ended <- struct{}{}
+	<-r.let
+}
+
+// Given an answer whose end a client is slow to take, when that end goes out, then its connection serves
+// others.
+func TestAConnectionRestsBeforeItsAnswersEndIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dials := 0
+		f := New(Config{DialTimeout: time.Second, KeepAlive: time.Minute, Connections: 9, Log: zerolog.Nop(),
+			Streams: func(*http.Response) core.Result { return core.Result{Code: choice.OK} },
+			Dial: func(context.Context, string, string) (net.Conn, error) {
+				dials++
+				near, far := net.Pipe()
+				go http.Serve(&one{far}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					w.Write(make([]byte, 100))
+				}))
+				return near, nil
+			}})
+		r := reader{make(chan struct{}), make(chan struct{})}
+		for range 3 { // none of them is let
+			f.Start(core.Attempt{Payload: greeting{}, Timeout: time.Second, End: func(res core.Result) {
+				res.Body.(*transfer.Reply).To(r)
+			}})
+			<-r.ended
+		}
+		if dials != 1 {
+			t.Errorf("%d connections, want one", dials)
+		}
+		close(r.let)
+		f.Drop(core.Server{})
+	})
+}
+
+// one is a listener with one connection.
+type one struct{ net.Conn }
+
+func (o *one) Accept() (net.Conn, error) {
+	if nc := o.Conn; nc != nil {
+		o.Conn = nil
+		return nc, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (o *one) Addr() net.Addr { return &net.TCPAddr{} }
+func (o *one) Close() error   { return nil }
--- a/internal/net/forward/hold.go
+++ b/internal/net/forward/hold.go
@@ -107,7 +107,7 @@
 		code = "unasked-bytes"
 	case closed || r.Close || !r.ProtoAtLeast(1, 1):
 		code = "server-closed"
-	case !x.stream.sent.Load(): // the rest of the body would be taken for the next request
+	case !c.sentAll(x): // the rest of the body would be taken for the next request
 		code = "answered-early"
 	}
 	if code != "" {
--- a/internal/net/forward/stream.go
+++ b/internal/net/forward/stream.go
@@ -164,7 +164,7 @@
 		return
 	}
 	if !x.stream.long {
-		x.stream.sent.Store(true)
+		x.stream.all(c)
 		return
 	}
 	x.stream.side = transfer.NewSide(c.nc, x.stream.terms.ServerUp)
@@ -208,10 +208,21 @@
 	}
 	s.side.Conn.SetWriteDeadline(time.Time{}) // for the requests that come after
 	s.expect(s.terms.Head)
-	s.sent.Store(true)
+	s.x.mu.Lock()
+	c := s.x.conn
+	s.x.mu.Unlock()
+	s.all(c)
 	return nil
 }
 
+// all notes that all of the request has gone.
+func (s *streaming) all(c *conn) {
+	s.sent.Store(true)
+	c.mu.Lock()
+	c.tell()
+	c.mu.Unlock()
+}
+
 // Cut closes the connection in the midst of the body, so that the server can tell.
 func (s *streaming) Cut() {
 	s.x.mu.Lock()
@@ -326,22 +337,26 @@
 		c.end("answer-not-wanted")
 		return false
 	}
-	whole, code := c.pump(x, reply, to, buf)
+	whole, trailer, code := c.pump(x, reply, to, buf)
 	if !whole {
 		c.end(code)
 		to.Cut()
 		return false
 	}
-	if r.Close || !r.ProtoAtLeast(1, 1) || code != "" || !x.stream.sent.Load() || c.pieces.Buffered() > 0 ||
-		c.foreign {
-		switch {
-		case c.foreign:
-			code = "doubtful"
-		case c.pieces.Buffered() > 0:
-			code = "unasked-bytes"
-		case code == "":
-			code = "server-closed"
-		}
+	// The end goes out last: who has it may ask again at once, and finds this connection resting, or its slot
+	// free. It goes by itself, since a client that reads slowly must not hold up whom that serves next.
+	defer func() { go to.End(trailer) }()
+	switch {
+	case c.foreign:
+		code = "doubtful"
+	case c.pieces.Buffered() > 0:
+		code = "unasked-bytes"
+	case code == "" && (r.Close || !r.ProtoAtLeast(1, 1)):
+		code = "server-closed"
+	case code == "" && !c.sentAll(x): // the rest of the request would be taken for the next
+		code = "answered-early"
+	}
+	if code != "" {
 		x.stream.detach()
 		c.end(code)
 		return false
@@ -350,47 +365,45 @@
 	return !ended
 }
 
-// pump moves the body of an answer. It reports whether all of it has gone, and with which code the connection
-// is to end, if it is.
+// pump moves the body of an answer, but for its end. It reports whether all of it has gone, what follows it,
+// and with which code the connection is to end, if it is.
 func (c *conn) pump(
 	x *exchange,
 	reply *transfer.Reply,
 	to transfer.Dest,
 	buf []byte,
-) (whole bool, code string) {
+) (whole bool, trailer []byte, code string) {
 	if err := to.Head(reply); err != nil {
-		return false, "client-gone"
+		return false, nil, "client-gone"
 	}
 	if held := c.held; held != nil {
 		c.held = nil
 		if to.Write(held) != nil {
-			return false, "client-gone"
+			return false, nil, "client-gone"
 		}
 	}
-	var trailer []byte
 	side := transfer.NewSide(c.nc, x.stream.terms.ServerDown)
 	free := transfer.NewSide(c.nc, flow.Pace{})
 	window := transfer.NewWindow(to.Room(), flow.Down, buf)
 	for {
 		kind, piece, err := c.pieces.Next()
 		if err != nil {
-			return false, "bad-answer"
+			return false, nil, "bad-answer"
 		}
 		switch kind {
 		case http1.Data:
 			if err := to.Write(piece); err != nil {
-				return false, "client-gone"
+				return false, nil, "client-gone"
 			}
 			continue
 		case http1.Trailer:
 			trailer = bytes.Clone(piece)
 			continue
 		case http1.End:
-			to.End(trailer)
-			return true, ""
+			return true, trailer, ""
 		}
 		if err := to.Flush(); err != nil {
-			return false, "client-gone"
+			return false, nil, "client-gone"
 		}
 		taken := window.Take()
 		into, plain := taken, c.pieces.Plain(len(taken))
@@ -407,7 +420,7 @@
 		case n > 0 && plain > 0:
 			c.pieces.Passed(n)
 			if to.Write(into[:n]) != nil {
-				return false, "client-gone"
+				return false, nil, "client-gone"
 			}
 		case n > 0:
 			c.pieces.Feed(into[:n])
@@ -419,13 +432,12 @@
 		var slow *transfer.SlowError
 		switch {
 		case errors.As(err, &slow):
-			return false, "server-" + slow.Error()
+			return false, nil, "server-" + slow.Error()
 		case errors.Is(err, io.EOF):
 			if kind, _ := c.pieces.Finish(); kind == http1.End {
-				to.End(nil)
-				return true, "server-closed"
+				return true, nil, "server-closed"
 			}
 		}
-		return false, "server-reset"
+		return false, nil, "server-reset"
 	}
 }
--- a/internal/net/transfer/reply.go
+++ b/internal/net/transfer/reply.go
@@ -20,7 +20,7 @@
 	cut  func()
 }
 
-// Dest is the client's side of an answer. Its methods block, and are called by one goroutine.
+// Dest is the client's side of an answer. Its methods block, and are called one after the other.
 type Dest interface {
 	Head(*Reply) error
 	Write(piece []byte) error // what is not written when it returns goes out by Flush
