Pass no 1xx answer on to a client whose request judges its answers

Cause: a 1xx answer has no place in the look at ids: one that came late for another request on a kept connection went on with a long answer of the next (short ones dropped it already). Change: of a request that judges its answers (the whole gateway's) none is kept; the general front passes them on as before. Measured: TestNo1xxIsPassedOnUnjudged, which finds 2 of 2 passed on without the look.

--- a/internal/net/forward/forward_test.go
+++ b/internal/net/forward/forward_test.go
@@ -15,6 +15,7 @@
 	"dunespoke/choice"
 	"dunespoke/core"
 	"dunespoke/internal/flow"
+	"dunespoke/internal/http1"
 	"dunespoke/internal/net/transfer"
 )
 
@@ -138,51 +139,80 @@
 func (greeting) Terms() *transfer.Terms   { return &transfer.Terms{} }
 func (greeting) Method() string           { return http.MethodGet }
 
+// judging is one that judges its answers.
+type judging struct{ greeting }
+
+func (judging) Judge(*http1.Response, Arrival) (core.Result, Fit) {
+	return core.Result{Code: choice.OK}, Good
+}
+func (judging) JudgeHead(*http.Response, Arrival) core.Result { return core.Result{Code: choice.OK} }
+
 // reader is a client that takes an answer's end only once it is let.
 type reader struct {
-	ended chan struct{}
-	let   chan struct{}
+	ended   chan struct{}
+	let     chan struct{}
+	interim *int // the 1xx answers that came
 }
 
-func (reader) Head(*transfer.Reply) error { return nil }
-func (reader) Write([]byte) error         { return nil }
-func (reader) Flush() error               { return nil }
-func (reader) Cut()                       {}
-func (reader) Fail()                      {}
-func (reader) Room() *flow.Transfer       { return nil }
+func (r reader) Head(reply *transfer.Reply) error {
+	*r.interim += len(reply.Interim)
+	return nil
+}
+func (reader) Write([]byte) error   { return nil }
+func (reader) Flush() error         { return nil }
+func (reader) Cut()                 {}
+func (reader) Fail()                {}
+func (reader) Room() *flow.Transfer { return nil }
 func (r reader) End([]byte) {
 	r.ended <- struct{}{}
 	<-r.let
 }
 
-// Given an answer whose end a client is slow to take, when that end goes out, then its connection serves
-// others.
-func TestAConnectionRestsBeforeItsAnswersEndIsTaken(t *testing.T) {
+// served plays requests one after the other, none of whose clients is let, and returns how many connections
+// they took, and how many 1xx answers came to the clients.
+func served(t *testing.T, requests int, m Message) (dials, interim int) {
 	synctest.Test(t, func(t *testing.T) {
-		dials := 0
 		f := New(Config{DialTimeout: time.Second, KeepAlive: time.Minute, Connections: 9, Log: zerolog.Nop(),
 			Streams: func(*http.Response) core.Result { return core.Result{Code: choice.OK} },
 			Dial: func(context.Context, string, string) (net.Conn, error) {
 				dials++
 				near, far := net.Pipe()
 				go http.Serve(&one{far}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					w.WriteHeader(http.StatusEarlyHints)
 					w.Write(make([]byte, 100))
 				}))
 				return near, nil
 			}})
-		r := reader{make(chan struct{}), make(chan struct{})}
-		for range 3 { // none of them is let
-			f.Start(core.Attempt{Payload: greeting{}, Timeout: time.Second, End: func(res core.Result) {
+		r := reader{make(chan struct{}), make(chan struct{}), &interim}
+		for range requests {
+			f.Start(core.Attempt{Payload: m, Timeout: time.Second, End: func(res core.Result) {
 				res.Body.(*transfer.Reply).To(r)
 			}})
 			<-r.ended
 		}
-		if dials != 1 {
-			t.Errorf("%d connections, want one", dials)
-		}
 		close(r.let)
 		f.Drop(core.Server{})
 	})
+	return dials, interim
+}
+
+// Given an answer whose end a client is slow to take, when that end goes out, then its connection serves
+// others.
+func TestAConnectionRestsBeforeItsAnswersEndIsTaken(t *testing.T) {
+	if dials, _ := served(t, 3, greeting{}); dials != 1 {
+		t.Errorf("%d connections, want one", dials)
+	}
+}
+
+// Given 1xx answers, whose request nobody can tell, then none goes on to a client whose request judges its
+// answers; and to others they do.
+func TestNo1xxIsPassedOnUnjudged(t *testing.T) {
+	if _, n := served(t, 2, judging{}); n != 0 {
+		t.Errorf("%d unjudged 1xx answers are passed on", n)
+	}
+	if _, n := served(t, 2, greeting{}); n != 2 {
+		t.Errorf("%d 1xx answers of 2 are passed on", n)
+	}
 }
 
 // one is a listener with one connection.
--- a/internal/net/forward/stream.go
+++ b/internal/net/forward/stream.go
@@ -286,9 +286,7 @@
 			}
 			return true
 		case kind == http1.Interim:
-			if status := bytes.Fields(piece)[1]; string(status) != "100" && len(c.interim) < mostKept {
-				c.interim = append(c.interim, bytes.Clone(piece))
-			}
+			c.keep1xx(x, piece)
 		case kind == http1.Head && c.f.Hold == 0:
 			return c.move(x, r, buf)
 		default:
@@ -299,6 +297,15 @@
 	}
 }
 
+// keep1xx keeps the head of an answer that goes before the true one. Of a request that judges answers, none
+// is kept: it may have come late for another, and only a true answer's head is judged.
+func (c *conn) keep1xx(x *exchange, head []byte) {
+	_, judges := x.Payload.(Judging)
+	if status := bytes.Fields(head)[1]; !judges && string(status) != "100" && len(c.interim) < mostKept {
+		c.interim = append(c.interim, bytes.Clone(head))
+	}
+}
+
 // move passes an answer on, from its head to its end, if it is wanted. It reports whether the connection can
 // be used on.
 func (c *conn) move(x *exchange, r *http.Response, buf []byte) bool {
