Let an ingress that is alone ask the desk though nothing is short

Cause: found by the drawn overlaps of two keepers. An ingress that goes by its even share asks only for what is short. Where a tenant's room is parts of a request (84 ingresses at 40 a second, 35 at 30) nothing is leased ahead, so that it asked no more and stayed alone for good after any silence of the desk: it refused tenants within their quota by half a share, and spent that beside what the desk gave others. Change: alone, a question goes out without anything short, too; an answer ends the state.

--- a/exchange/toll/meter.go
+++ b/exchange/toll/meter.go
@@ -191,7 +191,8 @@
 	return true
 }
 
-// ask sends a question for all that is short, unless one is out.
+// ask sends a question for all that is short, unless one is out. Alone it asks if nothing is short, too: only
+// an answer ends that, and where shares of the room are parts of a request nothing is leased ahead.
 func (m *Meter) ask(now time.Duration) {
 	if m.epoch == 0 { // no desk is known yet: who waits does so no longer than for one that is silent
 		if m.silent == 0 && m.waits() {
@@ -213,7 +214,7 @@
 			tolls = append(tolls, signal.Toll{Tenant: tenant, Tokens: a.wanted, Spent: a.debt})
 		}
 	}
-	if len(tolls) == 0 {
+	if len(tolls) == 0 && m.state == Reaching {
 		return
 	}
 	m.call++
--- a/exchange/toll/toll_test.go
+++ b/exchange/toll/toll_test.go
@@ -191,6 +191,29 @@
 	}
 }
 
+// Given ingresses among which a tenant's room is parts of a request, so that nothing is leased ahead, when
+// the desk was silent for a while, then all reach it again, and who stays within its quota is let in.
+func TestAllReachADeskThatIsBack(t *testing.T) {
+	w := given(3, 84, Limits{Rate: 40, Burst: 40})
+	w.run(8 * time.Second)
+	w.asks(25, 2*time.Second)
+	for i := range w.meters {
+		w.cut[i] = true
+	}
+	w.asks(25, 3*time.Second)
+	clear(w.cut)
+	w.asks(25, time.Second)
+	alone := 0
+	for _, m := range w.meters {
+		alone += int(m.state)
+	}
+	before := len(w.denied)
+	w.asks(25, 10*time.Second)
+	if n := len(w.denied) - before; alone > 0 || n > 3 {
+		t.Errorf("%d alone a second after the desk was back, %d refused then", alone, n)
+	}
+}
+
 // Given a desk that falls silent, when a tenant goes on within half its quota, then most of it is let in.
 func TestWithoutADeskEvenSharesAreGoneBy(t *testing.T) {
 	w := given(2, 12, Limits{Rate: 100, Burst: 100})
