Count a member's lease from its own sending of the question for news

Cause: a question for news renewed its sender's lease from when it was read. One that waited in a socket, or came again, lengthened the lease of a machine that is gone. Change: a question names the News that the sender had last of that machine, and for how long; the lease counts from when that answer was first sent, and that time on, by the receiver's clock (as contact does by beats). A first question to a machine names none, and the next one follows at once. Since a machine that begins to tell would know too few members for that moment, it lets no lease run out and tells members only to who knows none until all have asked again (1.25 s). extension.go: the two fields, and a map of the last answers.

--- a/exchange/extension/extension.go
+++ b/exchange/extension/extension.go
@@ -90,10 +90,18 @@
 	freshAt time.Duration
 	failed  int
 
+	heard map[string]heard // what each machine of the core answered last
+
 	calls    map[uint64]*call
 	lastCall uint64
 }
 
+// heard is the last answer of a machine to a question for news.
+type heard struct {
+	call uint64
+	at   time.Duration
+}
+
 // call is a Put or a Read that awaits its end.
 type call struct {
 	m     signal.Message
@@ -105,7 +113,8 @@
 
 // New returns an Extension. The members of the core may be known from before, as a Roll tells them.
 func New(now time.Duration, o Options, known *signal.Message) *Extension {
-	e := &Extension{Options: o, now: now, calls: map[uint64]*call{}, homeAt: now}
+	e := &Extension{Options: o, now: now, calls: map[uint64]*call{}, heard: map[string]heard{},
+		homeAt: now}
 	e.know(known)
 	return e
 }
@@ -258,6 +267,9 @@
 	e.askAt, e.askedAt = 0, e.now
 	m := &signal.Message{Kind: signal.Poll, Call: e.call, Epoch: e.epoch, Version: e.version, Roster: e.roster,
 		Wait: uint64(pollWait.Milliseconds()), Zone: e.Self.Zone}
+	if h, ok := e.heard[e.at]; ok { // so that it knows when this was sent: the lease counts from then
+		m.Echo, m.Held = h.call, uint64((e.now - h.at).Milliseconds())
+	}
 	if e.list != nil {
 		m.List = &signal.List{Epoch: e.list.Epoch, Seq: e.list.Seq}
 	}
@@ -279,6 +291,7 @@
 	case signal.News:
 		// What comes later was held up with this process, and so was its turn to ask elsewhere.
 		if from == e.at && m.Call == e.call && e.askAt == 0 && now < e.askedAt+e.patience() {
+			e.heard[from] = heard{m.Call, now}
 			e.news(m)
 		}
 	case signal.Done, signal.Conflict, signal.Copy, signal.Reformed:
--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -136,13 +136,15 @@
 	asks   map[uint64]*ask
 	askSeq uint64
 
-	list    signal.List
-	polls   map[string]poll
-	members map[string]member
-	roster  uint64
-	freshAt time.Duration // when it last served
-	served  bool          // it has served in this view
-	keep    keep
+	list     signal.List
+	polls    map[string]poll
+	answered map[string]answered // the last answer to each who asked for news
+	members  map[string]member
+	roster   uint64
+	freshAt  time.Duration // when it last served
+	gathers  time.Duration // since when it does, but for changes of the view
+	served   bool          // it has served in this view
+	keep     keep
 }
 
 // text is a configuration.
@@ -182,7 +184,8 @@
 func New(now time.Duration, o Options) *Frame {
 	f := &Frame{Options: o, self: o.Self.Addr, now: now, begun: now, rec: o.Disk, next: o.Disk,
 		peers: map[string]*peer{},
-		asks:  map[uint64]*ask{}, polls: map[string]poll{}, members: map[string]member{},
+		asks:  map[uint64]*ask{}, polls: map[string]poll{}, answered: map[string]answered{},
+		members:    map[string]member{},
 		candidates: map[string]*candidate{}, packs: map[[2]uint64]*signal.Packed{}, beatAt: now,
 		slow: -healthyFor, epoch: o.Disk.Epoch, chain: o.Disk.Chain, wishAt: now,
 		beatsSent: beatTimes{number: o.Life % (1 << 28) << 20}}
--- a/exchange/frame/news.go
+++ b/exchange/frame/news.go
@@ -16,15 +16,32 @@
 	due time.Duration
 }
 
+// answered is the last question for news that was answered, and when it first was.
+type answered struct {
+	life, call uint64
+	at         time.Duration
+}
+
+// answeredFor is how long an answer is remembered: who asks turns to all others first, and comes back.
+const answeredFor = 4 * leaseTime
+
+// gatherFor is how long it takes until all have asked again: a question's time, and an answer's.
+const gatherFor = 1250 * time.Millisecond
+
 type member struct {
 	signal.Machine
 	renewed time.Duration
 	here    time.Duration // when it last renewed its lease at this machine
 }
 
-// poll takes a question for news, which renews the lease of who asks.
+// poll takes a question for news, which renews the lease of who asks. The lease counts from when that was
+// sent, by what it says of the answer before: one that waited on its way, or comes again, is as old as it is.
+// A first question names none, and the next one follows at once.
 func (f *Frame) poll(from string, m *signal.Message) {
-	f.lease(signal.Machine{Addr: from, Zone: m.Zone}, true)
+	if t, ok := f.answered[from]; ok && t.life == m.Life && t.call == m.Echo {
+		sent := min(f.now, t.at+time.Duration(m.Held)*time.Millisecond)
+		f.lease(signal.Machine{Addr: from, Zone: m.Zone, Age: uint64((f.now - sent).Milliseconds())}, true)
+	}
 	wait := min(time.Duration(m.Wait)*time.Millisecond, leaseTime/2)
 	if old, waits := f.polls[from]; waits && old.Life == m.Life && old.Call >= m.Call {
 		return // it comes again, or late: who asked has gone on
@@ -46,6 +63,9 @@
 // answerPolls answers those that have waited long enough.
 func (f *Frame) answerPolls() {
 	if f.tells() {
+		if !f.mending() {
+			f.gathers = f.now
+		}
 		f.freshAt = f.now
 	}
 	for _, from := range f.asking(!f.mending()) {
@@ -90,12 +110,15 @@
 			l := f.list // not the frame's own, which changes: this process asks, too
 			m.List, now = &l, true
 		}
-		if f.roster != p.Roster {
+		if f.roster != p.Roster && (p.Roster == 0 || f.gathered()) {
 			m.Members, m.Roster = f.all(), f.roster
 		}
 	}
 	if now {
 		delete(f.polls, to)
+		if old := f.answered[to]; old.life != p.Life || old.call < p.Call { // else it was answered earlier
+			f.answered[to] = answered{p.Life, p.Call, f.now}
+		}
 		f.Actions.Send(to, m)
 	}
 }
@@ -109,7 +132,7 @@
 	}
 	here := old.here
 	if own {
-		here = f.now
+		here = max(here, renewed)
 	}
 	f.members[x.Addr] = member{signal.Machine{Addr: x.Addr, Zone: x.Zone}, renewed, here}
 	if !known {
@@ -117,8 +140,17 @@
 	}
 }
 
+// gathered reports whether this machine has told news for as long as all who ask take to ask again. Before
+// that it knows of too few members, and each would take too large a share of a quota: who knows others goes
+// by those, and no lease runs out.
+func (f *Frame) gathered() bool { return f.mending() && f.now >= f.gathers+gatherFor }
+
 // expire drops the members whose leases have run out.
 func (f *Frame) expire() {
+	maps.DeleteFunc(f.answered, func(_ string, t answered) bool { return f.now > t.at+answeredFor })
+	if !f.gathered() {
+		return
+	}
 	n := len(f.members)
 	for addr, m := range f.members {
 		if f.now > m.renewed+leaseTime {
--- a/exchange/rehearsal/keeper_test.go
+++ b/exchange/rehearsal/keeper_test.go
@@ -160,3 +160,51 @@
 		}
 	}
 }
+
+// heldUp has an ingress's questions for news wait for a while on their way, or come again after it, and ends
+// its process; it returns for how long the others count it as a member.
+func heldUp(t *testing.T, again bool, tamper func(*Machine, *signal.Message)) time.Duration {
+	s := given(t, 2)
+	s.Tamper = tamper
+	m, other := s.Named("z1-2"), s.Named("z2-2")
+	s.then("all are members", 5*time.Second, func() bool { return other.Members() == len(s.Machines) })
+	s.Wire = func(from, to string, x *signal.Message) []Delivery {
+		late := Delivery{To: to, Message: x, After: 2500 * time.Millisecond}
+		switch {
+		case x.Kind != signal.Poll || from != m.self.Addr:
+			late.After = 0
+		case again:
+			return []Delivery{{To: to, Message: x}, late}
+		}
+		return []Delivery{late}
+	}
+	s.Run(time.Second)
+	m.Kill()
+	killed, last := s.Now, s.Now
+	s.Until(func() bool {
+		if other.Members() == len(s.Machines) {
+			last = s.Now
+		}
+		return false
+	}, 12*time.Second)
+	return last - killed
+}
+
+// Given an ingress whose questions for news wait on their way, or come again, when its process ends, then its
+// lease runs out as if they had not: it counts from its own sending. If it counted from receipt, it would be
+// longer.
+func TestALeaseCountsFromTheAskersSending(t *testing.T) {
+	const most = 3*time.Second + 900*time.Millisecond // a lease, and a question for news until others hear of it
+	for _, again := range []bool{false, true} {
+		if took := heldUp(t, again, nil); took > most {
+			t.Errorf("again %v: a member for %v after its end", again, took)
+		}
+	}
+	if took := heldUp(t, false, func(_ *Machine, m *signal.Message) {
+		if m.Kind == signal.Poll {
+			m.Held = 1 << 30
+		}
+	}); took <= most {
+		t.Errorf("not found: leases that count from receipt: a member for %v after its end", took)
+	}
+}
--- a/exchange/signal/signal.go
+++ b/exchange/signal/signal.go
@@ -81,8 +81,8 @@
 	To       string    `pb:"41"` // of Ringing: the address that was dialled; empty: the answer to that
 	Granted  uint64    `pb:"42"` // of Ask: the call whose grant was taken last; those since have been given up
 	Beat     uint64    `pb:"45"` // of Beat: its number in the sender's life
-	Echo     uint64    `pb:"46"` // of Beat: the last one of the receiver that the sender had
-	Held     uint64    `pb:"47"` // of Beat: and how long ago it had that, in milliseconds
+	Echo     uint64    `pb:"46"` // of Beat: the receiver's last one that the sender had; of Poll: its last News
+	Held     uint64    `pb:"47"` // and how long ago it had that, in milliseconds
 
 	Generation uint64    `pb:"30"` // of the registry: the epoch of the view that installed it
 	Former     []Machine `pb:"31"` // the registry before, until the change is known to be complete
