Write a line's queue in pieces: slow is not dead

On a link of 2 Mbit/s a queue of more than some 250 kB ended its line, though it was being taken all the time.

Change: trunk.writeAll writes 64 kB at a time, each with the limit to itself. A machine that has gone is noticed as before, by TCP_USER_TIMEOUT and the limit on a piece.

Measured: go test -race ./exchange/trunk passes in 1.1 s, with TestALongQueueIsWrittenInPieces, in memory: each piece has a limit of its own, and nothing is written behind one that failed.

--- a/exchange/trunk/trunk.go
+++ b/exchange/trunk/trunk.go
@@ -24,11 +24,12 @@
 const (
 	dialLimit = 400 * time.Millisecond
 	// of a machine that has what was sent and does not say so: the line is dead
-	silence    = 1000 * time.Millisecond
-	retryAfter = 100 * time.Millisecond // to a machine that could not be reached
-	mostQueued = 2 * signal.MaxFrame    // bytes that wait for a line
-	mostLines  = 512                    // that others may have open to this process
-	keepIdle   = 15 * time.Second       // after which a line with nothing to say is closed
+	silence     = 1000 * time.Millisecond
+	retryAfter  = 100 * time.Millisecond // to a machine that could not be reached
+	mostQueued  = 2 * signal.MaxFrame    // bytes that wait for a line
+	mostWritten = 64 << 10               // bytes at once: a link that bears 64 kB/s is no dead one
+	mostLines   = 512                    // that others may have open to this process
+	keepIdle    = 15 * time.Second       // after which a line with nothing to say is closed
 )
 
 // Options are what New needs.
@@ -283,8 +284,7 @@
 		out := p.queue
 		p.queue = spare[:0]
 		t.mu.Unlock()
-		nc.SetWriteDeadline(time.Now().Add(silence))
-		_, err := nc.Write(out)
+		err := writeAll(nc, out)
 		t.mu.Lock()
 		if spare = out; cap(spare) > 16<<10 {
 			spare = nil
@@ -300,6 +300,20 @@
 	p.writing = false
 }
 
+// writeAll writes a queue. A line is dead if it takes nothing for long, and not if it takes much slowly: the
+// limit is on each piece.
+func writeAll(nc net.Conn, out []byte) error {
+	for len(out) > 0 {
+		piece := out[:min(len(out), mostWritten)]
+		nc.SetWriteDeadline(time.Now().Add(silence))
+		if _, err := nc.Write(piece); err != nil {
+			return err
+		}
+		out = out[len(piece):]
+	}
+	return nil
+}
+
 // dial opens a line and says who is calling.
 func (t *Trunk) dial(addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
--- a/exchange/trunk/trunk_test.go
+++ b/exchange/trunk/trunk_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -91,3 +92,35 @@
 		nc.Close()
 	}
 }
+
+// slow is a connection that ends at a piece, and counts what is written with a limit of its own.
+type slow struct {
+	net.Conn
+	limits, pieces, bytes, most int
+	end                         int
+}
+
+func (c *slow) SetWriteDeadline(time.Time) error { c.limits++; return nil }
+
+func (c *slow) Write(p []byte) (int, error) {
+	if c.pieces++; c.pieces == c.end {
+		return 0, net.ErrClosed
+	}
+	c.bytes, c.most = c.bytes+len(p), max(c.most, len(p))
+	return len(p), nil
+}
+
+// Given a line that takes much slowly, when a long queue is written, then each piece has the limit of silence
+// to itself, and nothing is written behind a piece that failed.
+func TestALongQueueIsWrittenInPieces(t *testing.T) {
+	const size = 1 << 20
+	c := &slow{}
+	if err := writeAll(c, make([]byte, size)); err != nil || c.bytes != size || c.most > mostWritten ||
+		c.limits != c.pieces {
+		t.Errorf("%+v, %v", c, err)
+	}
+	c = &slow{end: 3}
+	if err := writeAll(c, make([]byte, size)); err == nil || c.pieces != 3 {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
