Tell long news in parts that are asked for, and keep those that come late

An answer had all that a line lacked, in 0.25 s; one that came later was dropped, and the next machine asked for the same. A process behind 2 Mbit/s never caught up, and many lines behind one machine never did, while that sent all it could.

Late answers bring bytes and no word: what they complete comes into force by a timely answer that names the same digest as the newest, or by a change over it. A configuration that changes meanwhile goes on as a base. Room goes by the rate of the last answer; all who ask a machine share 16 MB; where late answers tell of congestion, first answers have 0.5 s, and pauses with jitter by the life come between questions.

exchange/office only hands the life on. quorum_test's watch holds parts to its bound, too: it looked only at whole configurations. It leaves out a part that says of itself that it isn't the newest; a test shows that one which counts as such is found.

--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -145,6 +145,8 @@
 	gathers  time.Duration // since when it does, but for changes of the view
 	served   bool          // it has served in this view
 	keep     keep
+
+	snapshots snapshots
 }
 
 // text is a configuration.
--- a/exchange/frame/news.go
+++ b/exchange/frame/news.go
@@ -68,6 +68,7 @@
 		}
 		f.freshAt = f.now
 	}
+	f.snapshots.forget(f.now)
 	for _, from := range f.asking(!f.mending()) {
 		f.answer(from, f.now >= f.polls[from].due)
 	}
@@ -102,17 +103,7 @@
 			m.Epoch, m.Chain, m.Registry, now = f.epoch, f.chain, f.rec.Registry, true
 			m.Generation = f.rec.Generation
 		}
-		// What is on this disk and not committed yet is no news.
-		if n := len(f.texts); n > 0 && f.texts[n-1].version == f.committed && f.committed > p.Version {
-			m.Version, m.Config, now = f.committed, f.packed(f.texts[n-1], p.Version, true), true
-		}
-		if f.list.Epoch != 0 && newer(&f.list, p.List) {
-			l := f.list // not the frame's own, which changes: this process asks, too
-			m.List, now = &l, true
-		}
-		if f.roster != p.Roster && (p.Roster == 0 || f.gathered()) {
-			m.Members, m.Roster = f.all(), f.roster
-		}
+		now = f.tables(to, &p, m) || now
 	}
 	if now {
 		delete(f.polls, to)
--- a/exchange/office/office.go
+++ b/exchange/office/office.go
@@ -84,7 +84,7 @@
 	}
 	f.found(now)
 	f.ext = extension.New(now, extension.Options{Self: o.Self, Seeds: o.Seeds, Disk: o.Disk != nil,
-		First: f.first(), Actions: watch{o.Actions, f}}, known)
+		First: f.first(), Life: o.Life, Actions: watch{o.Actions, f}}, known)
 	return f
 }
 
--- a/exchange/signal/signal.go
+++ b/exchange/signal/signal.go
@@ -96,6 +96,39 @@
 	Misses     []string  `pb:"50"` // of Beat: members that the sender does not hear
 	Quiet      bool      `pb:"51"` // of Beat: no machine outside the chain can have a lease of the sender
 	Leavers    []string  `pb:"52"` // of Active: who has the view on disk, and leaves the core by it
+
+	Parts []Part `pb:"60"` // of Poll: what is held of snapshots; of News: what they go on with
+	Room  uint64 `pb:"61"` // of Poll: bytes of snapshots that the answer may have; 0: RoomFirst
+	Base  uint64 `pb:"62"` // of Poll: a configuration that is held and not in force: changes of it will do
+}
+
+// RoomFirst is how many bytes of snapshots an answer may have where the question doesn't say: on a link of
+// a quarter of a megabyte a second these take half of the time that a first answer has.
+const RoomFirst = 32 << 10
+
+// Table is one of the things that are told as news, each with versions of its own.
+type Table uint64
+
+// The tables, in the order in which they are told.
+const (
+	ConfigTable Table = iota + 1
+	ServerTable
+	MemberTable
+)
+
+// Part is a run of bytes of a snapshot: the message that tells one table, encoded. A long snapshot is told
+// in parts, which are asked for one after the other. It is named by its digest, so that a transfer goes on
+// at any machine that has the same.
+type Part struct {
+	Table  Table  `pb:"1"`
+	Digest uint64 `pb:"2"` // of the snapshot
+	Size   uint64 `pb:"3"` // of all of it
+	From   uint64 `pb:"4"` // of Poll: how much of it is held; of News: where Bytes belong
+	Bytes  []byte `pb:"5"`
+	Stale  bool   `pb:"6"` // of News: it is not the newest any more, and good as a base alone
+	// Of a configuration: its number, and that of what it is a change of; 0: of none.
+	Version uint64 `pb:"7"`
+	Base    uint64 `pb:"8"`
 }
 
 // Questions are the kinds that ask, each with the kinds that answer it. An answer says again the call or the
--- a/internal/lab/scale/cause.go
+++ b/internal/lab/scale/cause.go
@@ -29,6 +29,10 @@
 	signal.Ask: Tolls, signal.Grant: Tolls,
 }
 
+// tables says what a part of a snapshot is due to.
+var tables = map[signal.Table]string{signal.ConfigTable: Configuration, signal.ServerTable: Servers,
+	signal.MemberTable: Members}
+
 // parts splits a message's bytes by cause.
 func parts(m *signal.Message, size int) map[string]int {
 	main := causes[m.Kind]
@@ -48,11 +52,14 @@
 	if m.Config != nil {
 		take(Configuration, length(&signal.Message{Config: m.Config}))
 	}
+	for _, p := range m.Parts {
+		take(tables[p.Table], length(&signal.Message{Parts: []signal.Part{p}}))
+	}
 	if m.Kind == signal.News {
 		take(Views, length(&signal.Message{Chain: m.Chain, Registry: m.Registry, Former: m.Former}))
 		if m.List != nil { // long: what is left over
 			bare := *m
-			bare.List, bare.Members, bare.Config = nil, nil, nil
+			bare.List, bare.Members, bare.Config, bare.Parts = nil, nil, nil, nil
 			bare.Chain, bare.Registry, bare.Former = nil, nil, nil
 			take(Servers, size-length(&bare))
 		}
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -46,6 +46,11 @@
 		{signal.Message{Kind: signal.News, Call: 9, OK: true, Epoch: 65, Chain: []string{"10.0.0.1:7"},
 			Registry: members, Version: 2, Config: signal.Pack(made.Config(2), 1, made.Config(1)), List: list,
 			Members: members, Roster: 5}, []string{Members, Servers, Configuration, Polls, Views}},
+		{signal.Message{Kind: signal.News, Call: 9, OK: true, Parts: []signal.Part{
+			{Table: signal.ConfigTable, Size: 9, Bytes: make([]byte, 9)},
+			{Table: signal.ServerTable, Size: 9, Bytes: make([]byte, 9)},
+			{Table: signal.MemberTable, Size: 9, Bytes: make([]byte, 9)}}},
+			[]string{Members, Servers, Configuration, Polls}},
 		{signal.Message{Kind: signal.Install, Chain: []string{"10.0.0.1:7"},
 			Config: signal.Pack(made.Config(1), 0, nil)}, []string{Configuration, Views}},
 		{signal.Message{Kind: signal.Lineup, List: list}, []string{Servers}},
