Have saves that come while the vault closes fail, and not end the process

Cause: a machine of the core that was told to stop runs its loop until the very end, and other machines go on asking for its promise or sending changes down the chain. Close closed the channel of the saves, so that the next save in those up to 0.5 s was a send on a closed channel: a panic, which ends the process with status 2 and leaves the store unclosed.

Change: Close says that it closes, by a channel of its own; what was handed in before is written, what comes later is told as failed, and a caller that waits for room is let go.

--- /dev/null
+++ b/exchange/vault/closing_test.go
@@ -0,0 +1,33 @@
+package vault
+
+import (
+	"testing"
+	"time"
+
+	"dunespoke/exchange/frame"
+)
+
+// Given a vault that is being closed, when more saves come, as they do on a machine of the core that was told
+// to stop while the others ask for its promise, then they are told as failed and the process goes on; and
+// what was handed in before is there.
+func TestSavesThatComeWhileItCloses(t *testing.T) {
+	dir := t.TempDir()
+	v, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := make(chan bool, 2)
+	v.Save(frame.Record{Whole: true, Promised: 64}, func(ok bool) { told <- ok })
+	if err := v.Close(time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	v.Save(frame.Record{Whole: true, Promised: 128}, func(ok bool) { told <- ok })
+	if first, second := <-told, <-told; !first || second {
+		t.Errorf("before it closed: %v, after: %v", first, second)
+	}
+	v, r, err := Open(dir)
+	if err != nil || r.Promised != 64 {
+		t.Errorf("promised %d, %v", r.Promised, err)
+	}
+	v.Close(time.Minute)
+}
--- a/exchange/vault/vault.go
+++ b/exchange/vault/vault.go
@@ -48,6 +48,7 @@
 	damaged error
 	ruined  bool // what was given up can't be opened again
 	jobs    chan job
+	closing chan struct{}
 	done    chan struct{}
 }
 
@@ -62,7 +63,8 @@
 func Open(dir string) (*Vault, frame.Record, error) { return open(dir, onDisk) }
 
 func open(dir string, w ways) (*Vault, frame.Record, error) {
-	v := &Vault{ways: w, dir: dir, rest: backOff, jobs: make(chan job, 256), done: make(chan struct{})}
+	v := &Vault{ways: w, dir: dir, rest: backOff, jobs: make(chan job, 256),
+		closing: make(chan struct{}), done: make(chan struct{})}
 	r, err := v.begin()
 	if err != nil {
 		v.release()
@@ -181,8 +183,22 @@
 }
 
 // Save writes a record and syncs it, and then calls then, on the vault's goroutine. After a failed save it is
-// unknown which of the two records is on the disk. It does not block, unless hundreds of saves wait.
-func (v *Vault) Save(r frame.Record, then func(ok bool)) { v.jobs <- job{r, then} }
+// unknown which of the two records is on the disk. It does not block, unless hundreds of saves wait. Those
+// that come once the vault is being closed are told as failed, at once: a machine that was told to stop is
+// asked for its promise up to its end.
+func (v *Vault) Save(r frame.Record, then func(ok bool)) {
+	select {
+	case <-v.closing:
+		then(false)
+		return
+	default:
+	}
+	select {
+	case v.jobs <- job{r, then}:
+	case <-v.closing:
+		then(false)
+	}
+}
 
 func (v *Vault) run() {
 	defer close(v.done)
@@ -194,11 +210,17 @@
 		select {
 		case <-broken:
 			v.giveUp()
-		case j, more := <-v.jobs:
-			if !more {
-				return
-			}
+		case j := <-v.jobs:
 			j.then(v.write(j.record) == nil)
+		case <-v.closing:
+			for {
+				select {
+				case j := <-v.jobs: // handed in before
+					j.then(v.write(j.record) == nil)
+				default:
+					return
+				}
+			}
 		}
 	}
 }
@@ -255,7 +277,7 @@
 // Close ends the saves under way and closes the store. A disk that hangs is not waited for longer than the
 // limit.
 func (v *Vault) Close(limit time.Duration) error {
-	close(v.jobs)
+	close(v.closing)
 	closed := make(chan error, 1)
 	go func() {
 		<-v.done
