Tell no change of members as complete in news while it is not

Cause: a machine in service that has heard of a change of members under way told those who ask for news the new registry, its generation, and not the registry before. Who asked with an older epoch took the change for complete and told it on so. Reproduced: the core's links between the leaving head and a third member cut, the second member killed once it has promised, the head killed before the change is on its own disk, an ingress that starts within the moments in which the third is still in touch, and the third started again with that ingress among its seeds: it goes by the new members alone, which one of the three before has on disk. The two others are a majority of the registry before: two cores.

Change: news carries the registry that this machine is to have, with the one before and the generation; askers treat that as they treat a Roll.

--- a/exchange/frame/news.go
+++ b/exchange/frame/news.go
@@ -100,8 +100,9 @@
 	}
 	if m.OK {
 		if f.epoch != p.Epoch {
-			m.Epoch, m.Chain, m.Registry, now = f.epoch, f.chain, f.rec.Registry, true
-			m.Generation = f.rec.Generation
+			m.Epoch, m.Chain, now = f.epoch, f.chain, true
+			// With the registry before, where this machine knows of a change that may never be complete.
+			m.Registry, m.Former, m.Generation = f.next.Registry, f.next.Former, f.next.Generation
 		}
 		now = f.tables(to, &p, m) || now
 	}
--- /dev/null
+++ b/exchange/rehearsal/adversary_test.go
@@ -0,0 +1,70 @@
+package rehearsal
+
+import (
+	"testing"
+	"time"
+
+	"dunespoke/exchange/frame"
+	"dunespoke/exchange/signal"
+)
+
+// Given a change of members that only the newcomer has on its disk, and a member that has heard of it and is
+// in touch in the view before for some moments more, when a machine that has just started asks that one for
+// news, then it is not told that the change is complete, and tells it to nobody: no second core comes of it.
+// A member that tells it so is found.
+func TestAChangeThatIsNotCompleteIsNoNews(t *testing.T) {
+	play := func(defect bool) string {
+		s := given(t, 1)
+		a, b, c, asker := s.Named("z1-1"), s.Named("z2-1"), s.Named("z3-1"), s.Named("z3-2")
+		asker.Kill()
+		fresh := s.Add("z1")
+		fresh.Start()
+		s.Run(time.Second)
+		s.Cut(a, c, true)
+		s.CutOneWay(fresh, b, true)
+		s.Run(200 * time.Millisecond) // it is not missed yet, and is when the others promise
+		a.SetSync(430 * time.Millisecond)
+		a.office.Leave(s.Now)
+		s.then("the other has promised", time.Second, func() bool { return a.Frame().State() == frame.Installing })
+		b.Kill()
+		s.then("the one that missed the proposal has heard of the change", 2*time.Second, func() bool {
+			return len(c.record.Former) > 0
+		})
+		if len(a.record.Former)+len(b.record.Former) > 0 || !c.Frame().Fresh() {
+			t.Fatal("the others have it, or it is out of touch already")
+		}
+		if defect {
+			s.Tamper = func(to *Machine, m *signal.Message) {
+				if to == asker && m.Kind == signal.News {
+					m.Former = nil
+				}
+			}
+		}
+		asker.Start()
+		s.Run(20 * time.Millisecond)
+		a.Kill()
+		c.Kill()
+		s.Run(300 * time.Millisecond)
+		for _, m := range []*Machine{a, b} { // from here on there are two sides
+			for _, other := range []*Machine{c, fresh, asker} {
+				s.Cut(m, other, true)
+			}
+		}
+		a.SetSync(s.Sync)
+		s.seeds = []string{asker.self.Addr} // by the settings of that moment
+		c.Start()
+		a.Start()
+		b.Start()
+		s.Run(6 * time.Second)
+		s.PutText(b, 90, "of-the-old")
+		s.PutText(c, 90, "of-the-new")
+		s.Run(2 * time.Second)
+		return s.consistent()
+	}
+	if wrong := play(false); wrong != "" {
+		t.Error(wrong)
+	}
+	if play(true) == "" {
+		t.Error("the seeded defect is not found")
+	}
+}
