Check histories with many unanswered orders: the same order once more is one

Cause: in drawn histories with slow disks or noise porcupine gave up after 20 s (Unknown): each order without a clear answer stays open for ever, and an operator that sends the same one ten times leaves ten.

Change: of open orders with one text under one number the first stands for all. That is as strict: it may take effect wherever a later one may, and a second time changes nothing in the register.

--- a/exchange/rehearsal/register_test.go
+++ b/exchange/rehearsal/register_test.go
@@ -50,14 +50,23 @@
 	},
 }
 
-// history is what operators asked and heard. A change without a clear answer stays open for ever.
+// history is what operators asked and heard. A change without a clear answer stays open for ever. Of several
+// such with one text under one number the first stands for all: it may take effect wherever a later one may,
+// and a second time changes nothing.
 func (x *Exchange) history() (list []porcupine.Operation) {
+	type order struct {
+		version uint64
+		text    string
+	}
+	open := map[order]bool{}
 	for _, c := range x.Calls {
 		end := int64(c.At)
 		if !c.Acked && !c.Conflict {
-			if end = math.MaxInt64; c.Read {
+			o := order{c.Version, c.Text}
+			if end = math.MaxInt64; c.Read || open[o] {
 				continue
 			}
+			open[o] = true
 		}
 		list = append(list, porcupine.Operation{Input: c, Call: int64(c.Began), Return: end})
 	}
