Have who proposes a view without itself not serve in it

Cause: a machine that an earlier member doesn't hear is in no chain with that one. It proposes all the same where it alone still serves, and put the view that it proposed into service at its side though it is not in the chain. Nothing that is acknowledged there comes to its disk; the beats of the others say the same epoch, so that it counted as fresh, and it told its askers the configuration that it had as the newest, for as long as the head didn't hear it.

Change: a view is put into service only by the machines of its chain.

--- a/exchange/frame/view.go
+++ b/exchange/frame/view.go
@@ -467,6 +467,10 @@
 	}
 	f.epoch, f.chain = m.Epoch, m.Chain
 	f.keep = keep{took: slices.Concat(m.Chain, m.Leavers)}
+	if !slices.Contains(f.chain, f.self) { // its own proposal, without itself: nothing comes to its disk there
+		f.become(Aside)
+		return
+	}
 	f.commit(m.Version)
 	f.become(InService)
 	f.Actions.Log(events.InService, "epoch", m.Epoch, "machines", len(m.Chain), "version", f.committed)
--- a/exchange/rehearsal/adversary_test.go
+++ b/exchange/rehearsal/adversary_test.go
@@ -68,3 +68,43 @@
 		t.Error("the seeded defect is not found")
 	}
 }
+
+// Given a member that the first one doesn't hear, so that it can't be in a chain with that, when it proposes
+// a view, since it alone serves while the two others have not agreed yet, then it does not serve in the
+// view that it has proposed and is not in: what is acknowledged there does not come to its disk.
+func TestWhoProposesAViewWithoutItselfDoesNotServe(t *testing.T) {
+	s := given(t, 2)
+	a, b, c := s.Named("z1-1"), s.Named("z2-1"), s.Named("z3-1")
+	w := watched(s.Exchange)
+	watching, proposed := s.Told, false
+	s.Told = func(from *Machine, to string, m *signal.Message) {
+		if from == b && m.Kind == signal.Prepare { // for a moment it is heard
+			s.HealAll()
+			proposed = true
+		}
+		watching(from, to, m)
+	}
+	s.Wire = func(_, to string, m *signal.Message) []Delivery {
+		if m.Kind == signal.Promise && to == a.self.Addr {
+			return nil
+		}
+		return []Delivery{{To: to, Message: m}}
+	}
+	s.CutOneWay(b, a, true)
+	s.then("it has proposed a view", 4*time.Second, func() bool { return proposed })
+	s.then("that serves", 2*time.Second, func() bool { return len(s.Chain()) > 0 })
+	s.CutOneWay(b, a, true)
+	s.Wire = nil
+	for range 10 {
+		s.change(c)
+		s.Run(500 * time.Millisecond)
+	}
+	if len(w.wrong) > 0 {
+		t.Errorf("%d words, the first: %s", len(w.wrong), w.wrong[0])
+	}
+	s.HealAll()
+	s.then("it is back", 4*time.Second, func() bool { return s.Spare() == 1 && b.Version() == s.version })
+	if wrong := s.consistent(); wrong != "" {
+		t.Error(wrong)
+	}
+}
