Begin a first start with those that are there after 5 s, and not after 30 s

Cause: a first start waited 30 s for `2 x survive + 1` machines with a disk. Where one of three was not there, or its disk was full or hung, no order was acknowledged in that time, though the core is settled by the users' rules 3 s after the start and an order has to be acknowledged 4 s later.

Members change by agreement by now, so that the third joins when it can.

--- a/exchange/frame/founder.go
+++ b/exchange/frame/founder.go
@@ -1,6 +1,7 @@
 package frame
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -48,6 +49,7 @@
 	begun    time.Duration
 	machines map[string]signal.Machine
 	grown    time.Duration            // when the last machine was heard of
+	said     map[string]time.Duration // when each last said that it is there
 	heard    map[string]time.Duration // seeds
 	next     Founding                 // what is kept, once all saves under way are done
 	ballot   uint64
@@ -73,7 +75,7 @@
 // NewFounder returns a seed's founder.
 func NewFounder(now time.Duration, o FounderOptions) *Founder {
 	return &Founder{o: o, now: now, since: now, begun: now, grown: now, machines: map[string]signal.Machine{},
-		heard: map[string]time.Duration{}, next: o.Kept}
+		said: map[string]time.Duration{}, heard: map[string]time.Duration{}, next: o.Kept}
 }
 
 // become is the one place where the state changes.
@@ -102,6 +104,9 @@
 	if known := f.machines[from]; m.Disk && known.ID != m.ID {
 		f.machines[from], f.grown = signal.Machine{Addr: from, Zone: m.Zone, ID: m.ID}, now
 	}
+	if m.Disk {
+		f.said[from] = now
+	}
 	f.Tick(now)
 }
 
@@ -133,12 +138,19 @@
 
 // enough reports whether enough machines are there, and no more come: what is acknowledged must outlive the
 // loss of as many as are to be borne. All of them have a vote at once: they are named by the ids of their
-// disks, on which all is that they will have acknowledged.
+// disks, on which all is that they will have acknowledged. Where fewer than survive asks for come, those that
+// are there now begin: one more would be one too many that is not, or is another disk by now.
 func (f *Founder) enough() bool {
-	if len(f.machines) <= f.o.Survive {
+	switch {
+	case len(f.machines) >= 2*f.o.Survive+1 && f.now >= f.grown+foundQuiet:
+		return true
+	case f.now < f.begun+foundFew:
 		return false
 	}
-	return len(f.machines) >= 2*f.o.Survive+1 && f.now >= f.grown+foundQuiet || f.now >= f.begun+foundFew
+	maps.DeleteFunc(f.machines, func(addr string, _ signal.Machine) bool {
+		return f.now > f.said[addr]+deadAfter
+	})
+	return len(f.machines) > f.o.Survive
 }
 
 // propose asks for pledges, under a ballot that no other seed uses.
--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -34,7 +34,7 @@
 	unreadFor   = 2 * time.Second         // without a reading, the list that there is goes on
 	foundQuiet  = 400 * time.Millisecond  // without a new machine, before the first start
 	seedWait    = 1500 * time.Millisecond // for a seed that may be starting yet
-	foundFew    = 30 * time.Second        // and then with fewer than survive asks for
+	foundFew    = 5 * time.Second         // and then with fewer than survive asks for: quiet_s + confirm_s is 7
 	mostPuts    = 64                      // that wait for the head
 )
 
--- a/exchange/rehearsal/adversary_test.go
+++ b/exchange/rehearsal/adversary_test.go
@@ -69,6 +69,34 @@
 	}
 }
 
+// Given a first start in which one of three machines with a disk is not there, or its disk takes nothing or
+// hangs, when an operator sends the first configuration, then it is acknowledged within the users' bound from
+// the moment on at which the core is settled: the two others can hold it. The third becomes a member once it
+// can.
+func TestAFirstStartWithoutOneDisk(t *testing.T) {
+	for _, name := range []string{"z1-1", "z2-1", "z3-1"} {
+		for what, hit := range map[string]func(m *Machine){
+			"full":      func(m *Machine) { m.Fill(true) },
+			"hangs":     func(m *Machine) { m.Hang(true) },
+			"not there": func(m *Machine) { m.gone = true },
+		} {
+			s := &story{New(Options{Zones: 3, Disks: 1, Others: 1, Survive: 1, Seed: 5}), t, 0}
+			m := s.Named(name)
+			hit(m)
+			s.StartAll()
+			s.Run(300 * time.Millisecond) // by which all have started
+			if took := s.change(s.Named("z1-2")); took > quietFor+mostForAChange-time.Second {
+				t.Errorf("%s %s: acknowledged after %v", name, what, took)
+			}
+			m.gone = false
+			s.heal(m)
+			s.then(name+" "+what+": it is a member", 8*time.Second, func() bool { return s.member(m) })
+			s.borne(time.Second)
+			s.ends(name + " " + what)
+		}
+	}
+}
+
 // Given a member that the first one doesn't hear, so that it can't be in a chain with that, when it proposes
 // a view, since it alone serves while the two others have not agreed yet, then it does not serve in the
 // view that it has proposed and is not in: what is acknowledged there does not come to its disk.
