Look after what is due on a loop that never runs out of work

Cause: the plant's loop called tick only where nothing more had been handed in while it worked. As long as messages come as fast as they are taken, as to a machine of the core that thousands ask for news, no beat goes out and no call ends after its 0.88 s: the others take the machine for dead at its busiest, and hand its askers on to the next one.

Change: under work without end, what is due is looked after every 20 ms.

How long a true machine was held up so was not measured.

--- a/exchange/plant/loop.go
+++ b/exchange/plant/loop.go
@@ -27,10 +27,16 @@
 	}
 }
 
-// run runs until the context ends. tick does what is due, and returns for how long nothing will be.
+// busyTick is how long more work may put off what is due: a beat goes out every 150 ms, and a call that has
+// lasted for 0.88 s is to be answered within the second that its caller waits.
+const busyTick = 20 * time.Millisecond
+
+// run runs until the context ends. tick does what is due, and returns for how long nothing will be. It is
+// called where there is no more work, and under work without end every busyTick.
 func (l *loop) run(ctx context.Context, tick func() time.Duration) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	ticked := time.Now()
 	for {
 		l.mu.Lock()
 		work := l.queue
@@ -44,10 +50,11 @@
 		l.spare = work[:0]
 		more := len(l.queue) > 0
 		l.mu.Unlock()
-		if more {
+		if more && time.Since(ticked) < busyTick {
 			continue
 		}
 		timer.Reset(max(tick(), time.Millisecond))
+		ticked = time.Now()
 		select {
 		case <-ctx.Done():
 			return
--- /dev/null
+++ b/exchange/plant/loop_test.go
@@ -0,0 +1,28 @@
+package plant
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// Given a loop that is handed in more while it works, without end, as by messages that come faster than they
+// are taken, when something is due, then it is done all the same: beats go out, and calls end in time.
+func TestABusyLoopLooksAfterWhatIsDue(t *testing.T) {
+	const most = 3_000_000 // some seconds
+	ctx, end := context.WithCancel(context.Background())
+	l, done, ticked := newLoop(), 0, 0
+	var again func()
+	again = func() {
+		if done++; done < most && ticked < 3 {
+			l.do(again)
+		} else {
+			end()
+		}
+	}
+	l.do(again)
+	l.run(ctx, func() time.Duration { ticked++; return time.Hour })
+	if ticked < 3 {
+		t.Errorf("looked after what is due %d times while %d things were done", ticked, done)
+	}
+}
