Refuse a configuration under r0, which would be acknowledged and kept nowhere

Cause: the core holds number 0 before the first configuration. One under r0 was valid at the desk and not above what is held, so that it was acknowledged and changed nothing: a read told that there is none.

Change: r0 is no version: 400 at the desk.

Measured: the new row of TestWhatIsInvalidIsRefused fails before (no error); all of exchange passes with it.

--- a/exchange/directory/directory.go
+++ b/exchange/directory/directory.go
@@ -145,12 +145,13 @@
 	return Read(body)
 }
 
-// Version reads a version such as r12.
+// Version reads a version such as r12. Numbers begin with 1: 0 is what the core holds before the first, so
+// that a configuration under it would be acknowledged as not above that, and kept nowhere.
 func Version(text string) (uint64, error) {
 	digits, ok := strings.CutPrefix(text, "r")
 	n, err := strconv.ParseUint(digits, 10, 63)
-	if !ok || err != nil || digits[0] == '+' {
-		return 0, trace.BadParameter("version %q: want r and a number", text)
+	if !ok || err != nil || digits[0] == '+' || n == 0 {
+		return 0, trace.BadParameter("version %q: want r and a number above 0", text)
 	}
 	return n, nil
 }
--- a/exchange/directory/directory_test.go
+++ b/exchange/directory/directory_test.go
@@ -70,6 +70,7 @@
 		{`/x/y/`, `/x/`, "same place"},
 		{`["k3"]`, `["k1"]`, "share a key"},
 		{`"r7"`, `"7"`, "version"},
+		{`"r7"`, `"r0"`, "number above 0"},
 		{`"item_kind":"limits"`, `"item_kind":7`, "item_kind"},
 		{`"idle_s":15}}]}`, `"idle_s":15}}`, "can't be read whole"},
 		{`"path_start":"/x/"`, `"path_start":"/x"`, "path_start"},
