Play the faults of a full disk in child processes: the fence's seeded defects

Cause: that the fence between pebble and the disk is needed was told and not tested: both faults that it keeps off (pebble's Fatalf at a failed sync, and a mutex unlocked twice at a change of logs) end the process.

Change: a store's way of guarding pebble is one of its `ways`, as its commit and its digests are. It waits for nothing but the child, within two minutes. The loop of TestARefusalAnywhere is a function now, with the same checks.

What each child ends with: "MANIFEST flush failed: no space left on device" (1), "pebble: fatal commit error: no space left" (1), "fatal error: sync: unlock of unlocked mutex" (2), PASS (0).

--- a/exchange/vault/crash_test.go
+++ b/exchange/vault/crash_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"os/exec"
 	"path/filepath"
 	"reflect"
 	"runtime"
@@ -227,83 +230,148 @@
 	return nil
 }
 
+// refusals are how a disk refuses changes, told by how far past the first one it is.
+type refusals struct {
+	name          string
+	before, after func(past int) error
+}
+
+// full refuses all from a change on.
+var full = refusals{"all are refused", func(int) error { return syscall.ENOSPC }, nil}
+
+// play saves records on a disk that begins to refuse at a change, and is well again once three saves have
+// failed. It returns how many failed, whether the change came at all, and what is found wrong.
+func (c refusals) play(at int, change func(*ways)) (failed int, begun bool, found string) {
+	const saves = 14
+	d := newDisk()
+	w := d.ways()
+	change(&w)
+	var began atomic.Bool
+	around := func(f func(int) error) func(int, op) error {
+		return func(n int, _ op) error {
+			if f == nil || n < at {
+				return nil
+			}
+			began.Store(true)
+			return f(n - at)
+		}
+	}
+	d.before, d.after = around(c.before), around(c.after)
+	if c.after != nil && at%2 == 0 {
+		d.before = nil
+	} else {
+		d.after = nil
+	}
+	v, _, err := open("data", w)
+	if err != nil {
+		return 0, began.Load(), fmt.Sprint("not opened: ", err)
+	}
+	told := 0
+	for i := 1; told < saves && failed <= 6; i++ {
+		if v.save(record(i)) {
+			told = i
+			continue
+		}
+		if !began.Load() {
+			return failed, false, fmt.Sprintf("save %d failed before", i)
+		}
+		if failed++; failed == 3 { // it is well again
+			d.mu.Lock()
+			d.before, d.after = nil, nil
+			d.mu.Unlock()
+		}
+	}
+	if told < saves {
+		return failed, began.Load(), fmt.Sprintf("%d saves of %d, %d failed", told, saves, failed)
+	}
+	d.mu.Lock()
+	d.before, d.after = nil, nil
+	left := d.lose(0, nil)
+	d.mu.Unlock()
+	found = holds(left, d.ways(), told)
+	v.Close(time.Minute)
+	return failed, began.Load(), found
+}
+
 // Given a disk that refuses a change, any one or all from there on, or that says so of a change that it made,
 // when it takes changes again, then so does the vault, and it never told as saved what it doesn't hold.
 func TestARefusalAnywhere(t *testing.T) {
-	const saves = 14
 	one := func(past int) error {
 		if past > 0 {
 			return nil
 		}
 		return syscall.ENOSPC
 	}
-	for _, c := range []struct {
-		name          string
-		before, after func(past int) error // past the change at which it begins
-	}{
-		{"all are refused", func(int) error { return syscall.ENOSPC }, nil},
-		{"one is refused, or is made and said to have failed", one, one},
-	} {
+	for _, c := range []refusals{full, {"one is refused, or is made and said to have failed", one, one}} {
 		refused, at := 0, 1
-		for ; ; at++ {
-			d := newDisk()
-			var begun atomic.Bool
-			around := func(f func(int) error) func(int, op) error {
-				return func(n int, _ op) error {
-					if f == nil || n < at {
-						return nil
-					}
-					begun.Store(true)
-					return f(n - at)
-				}
-			}
-			d.before, d.after = around(c.before), around(c.after)
-			if c.after != nil && at%2 == 0 {
-				d.before = nil
-			} else {
-				d.after = nil
-			}
-			v, _, err := open("data", d.ways())
-			if err != nil {
-				t.Fatalf("%s, at change %d: not opened: %v", c.name, at, err)
-			}
-			told, failed := 0, 0
-			for i := 1; told < saves && failed <= 6; i++ {
-				if v.save(record(i)) {
-					told = i
-					continue
-				}
-				if refused++; !begun.Load() {
-					t.Fatalf("%s, at change %d: save %d failed before", c.name, at, i)
-				}
-				if failed++; failed == 3 { // it is well again
-					d.mu.Lock()
-					d.before, d.after = nil, nil
-					d.mu.Unlock()
-				}
-			}
-			if told < saves {
-				t.Fatalf("%s, at change %d: %d saves of %d, %d failed", c.name, at, told, saves, failed)
-			}
-			d.mu.Lock()
-			d.before, d.after = nil, nil
-			left := d.lose(0, nil)
-			d.mu.Unlock()
-			if f := holds(left, d.ways(), told); f != "" {
-				t.Fatalf("%s, at change %d: %s", c.name, at, f)
-			}
-			v.Close(time.Minute)
-			if !begun.Load() {
-				break
+		for begun := true; begun; at++ {
+			var failed int
+			var found string
+			if failed, begun, found = c.play(at, func(*ways) {}); found != "" {
+				t.Fatalf("%s, at change %d: %s", c.name, at, found)
 			}
+			refused += failed
 		}
-		t.Logf("%s: at %d changes, %d saves failed", c.name, at, refused)
+		t.Logf("%s: at %d changes, %d saves failed", c.name, at-1, refused)
 		if refused == 0 {
 			t.Errorf("%s: no save failed", c.name)
 		}
 	}
 }
 
+// seeded names the defect that a test process is to play instead of its tests: those that end the process.
+const seeded = "VAULT_SEEDED_DEFECT"
+
+// Seeded defects of what stands between pebble and a full disk, each of which ends the process, so that
+// another is started for each. The first is none: with the fence that process ends well.
+func TestARefusalFinds(t *testing.T) {
+	unfenced := func(l func(*store) pebble.Logger) func(*store, *pebble.Options) {
+		return func(s *store, o *pebble.Options) { o.FS, o.Logger = s.fs, l(s) }
+	}
+	ownLogger := unfenced(func(*store) pebble.Logger { return pebble.DefaultLogger })
+	d := newDisk()
+	v, _, err := open("data", d.ways())
+	if err != nil || !v.save(record(1)) || v.Close(time.Minute) != nil {
+		t.Fatal("no store: ", err)
+	}
+	defects := []struct {
+		name  string
+		guard func(*store, *pebble.Options)
+		from  int // the first change at which the disk is full
+		code  int
+		says  string
+	}{
+		{"none", fenced, 1, 0, "PASS"},
+		{"pebble meets a full disk as it opens", ownLogger, 1, 1, "MANIFEST flush failed: no space left"},
+		{"pebble meets a full disk at a save", ownLogger, d.n, 1, "pebble: fatal commit error: no space left"},
+		{"Fatalf alone is held back", unfenced(func(s *store) pebble.Logger { return quiet{s} }), d.n, 2,
+			"fatal error: sync: unlock of unlocked mutex"},
+	}
+	for _, c := range defects {
+		if os.Getenv(seeded) != c.name {
+			continue
+		}
+		for at, begun := c.from, true; begun; at++ {
+			var found string
+			if _, begun, found = full.play(at, func(w *ways) { w.guard = c.guard }); found != "" {
+				t.Errorf("at change %d: %s", at, found)
+			}
+		}
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	for _, c := range defects {
+		cmd := exec.CommandContext(ctx, os.Args[0], "-test.run=^"+t.Name()+"$")
+		cmd.Env = append(os.Environ(), seeded+"="+c.name)
+		out, err := cmd.CombinedOutput()
+		if code := cmd.ProcessState.ExitCode(); code != c.code || !bytes.Contains(out, []byte(c.says)) {
+			t.Errorf("%s: ended with %v; want %d, %q:\n%.3000s", c.name, err, c.code, c.says, out)
+		}
+		t.Logf("%s -> %d, %s", c.name, c.code, c.says)
+	}
+}
+
 // Given a disk that takes nothing, when a machine starts on it, then it has the record that is there, its
 // saves fail, and once the disk is well they don't. The same at each change that opening makes.
 func TestAStartOnADiskThatTakesNothing(t *testing.T) {
--- a/exchange/vault/store.go
+++ b/exchange/vault/store.go
@@ -88,6 +88,7 @@
 	memory uint64
 	commit func(db *pebble.DB, b *pebble.Batch) error // writes all of a batch or nothing, and syncs it
 	same   func(sum signal.Sum, text []byte) bool     // holds what was read to its digest
+	guard  func(s *store, o *pebble.Options)          // keeps errors of the disk from ending the process
 }
 
 // onDisk are the ways of the program.
@@ -98,6 +99,12 @@
 	memory: 512 << 10,
 	commit: func(db *pebble.DB, b *pebble.Batch) error { return db.Apply(b, pebble.Sync) },
 	same:   func(sum signal.Sum, text []byte) bool { return signal.SumOf(text) == sum },
+	guard:  fenced,
+}
+
+// fenced tells pebble none of the disk's errors, and holds its word for the process's end back.
+func fenced(s *store, o *pebble.Options) {
+	o.FS, o.Logger = watched{s.fs, s.fence.around}, quiet{s}
 }
 
 // store is a pebble store, from its opening to the first error of the disk that can't be made up for.
@@ -134,8 +141,7 @@
 }
 
 func (s *store) options(readOnly bool) *pebble.Options {
-	return &pebble.Options{FS: watched{s.fs, s.fence.around}, ReadOnly: readOnly, MemTableSize: s.memory,
-		CacheSize: 512 << 10, MaxOpenFiles: 32, Logger: quiet{s},
+	o := &pebble.Options{ReadOnly: readOnly, MemTableSize: s.memory, CacheSize: 512 << 10, MaxOpenFiles: 32,
 		EventListener: &pebble.EventListener{
 			BackgroundError: func(error) { s.breaks() },
 			DataCorruption: func(pebble.DataCorruptionInfo) {
@@ -143,6 +149,8 @@
 				s.breaks()
 			},
 		}}
+	s.guard(s, o)
+	return o
 }
 
 // quiet keeps pebble's own lines out of the log, and the process alive.
