Have one digest of a text: signal.SumOf, and entries of numbers that compare

Change: DigestOf is gone. The codec writes arrays of bytes, and takes none of another length, so that the digest of a number is a signal.Sum, and entries are compared by ==. The form in bytes stays as it was: stores and messages of before are read.

TestWhatIsSentIsWhatComes sends numbers too, one of them without a digest.

--- a/exchange/frame/chain.go
+++ b/exchange/frame/chain.go
@@ -1,7 +1,6 @@
 package frame
 
 import (
-	"bytes"
 	"slices"
 	"sort"
 	"time"
@@ -64,7 +63,7 @@
 		return
 	}
 	f.puts = append(f.puts, put{from: from, life: m.Life, call: m.Call, config: config, came: f.now,
-		entry: signal.Taken{Version: m.Version, Digest: DigestOf(config)}})
+		entry: signal.Taken{Version: m.Version, Digest: signal.SumOf(config)}})
 	f.advance()
 }
 
@@ -134,7 +133,7 @@
 // acknowledged and changes nothing, since the highest version wins.
 func (f *Frame) verdict(p put) {
 	m := &signal.Message{Kind: signal.Done, Life: p.life, Call: p.call, Version: f.committed, OK: true}
-	if d := f.next.digest(p.entry.Version); d != nil && !bytes.Equal(d, p.entry.Digest) {
+	if sum, known := f.next.digest(p.entry.Version); known && sum != p.entry.Digest {
 		m.Kind, m.OK = signal.Conflict, false
 	}
 	f.Actions.Send(p.from, m)
--- a/exchange/frame/content.go
+++ b/exchange/frame/content.go
@@ -1,9 +1,7 @@
 package frame
 
 import (
-	"bytes"
 	"cmp"
-	"crypto/sha256"
 	"slices"
 
 	"dunespoke/exchange/signal"
@@ -22,32 +20,27 @@
 	Past    []signal.Taken // the numbers taken last, the configuration's own among them, in rising order
 }
 
-// DigestOf is that of a configuration's text.
-func DigestOf(text []byte) []byte {
-	sum := sha256.Sum256(text)
-	return sum[:16]
-}
-
 // newer reports whether a content was accepted after another, by epoch and then by number: a number alone
 // says nothing, since two machines may have taken unlike texts under it, of which one was left behind.
 func (c *Content) newer(stamp, version uint64) bool {
 	return cmp.Or(cmp.Compare(c.Stamp, stamp), cmp.Compare(c.Version, version)) > 0
 }
 
-// digest is that of the text under a number; nil: none is remembered.
-func (c *Content) digest(version uint64) []byte {
-	i, found := slices.BinarySearchFunc(c.Past, version, byVersion)
-	if !found {
-		return nil
+// digest is that of the text under a number, if one is remembered.
+func (c *Content) digest(version uint64) (sum signal.Sum, known bool) {
+	i, known := slices.BinarySearchFunc(c.Past, version, byVersion)
+	if known {
+		sum = c.Past[i].Digest
 	}
-	return c.Past[i].Digest
+	return sum, known
 }
 
 func byVersion(t signal.Taken, version uint64) int { return cmp.Compare(t.Version, version) }
 
 // same reports whether a content has the text that an entry tells.
 func (c *Content) same(t signal.Taken) bool {
-	return c.Version == t.Version && bytes.Equal(c.digest(c.Version), t.Digest)
+	sum, known := c.digest(c.Version)
+	return known && t == signal.Taken{Version: c.Version, Digest: sum}
 }
 
 // last is the entry of the configuration itself; none before the first.
@@ -60,8 +53,8 @@
 
 // known returns a content as it was found on a disk. An earlier program kept nothing but the text.
 func (c Content) known() Content {
-	if c.Version > 0 && c.digest(c.Version) == nil {
-		c.Past = remember(c.Past, signal.Taken{Version: c.Version, Digest: DigestOf(c.Config)})
+	if _, known := c.digest(c.Version); c.Version > 0 && !known {
+		c.Past = remember(c.Past, signal.Taken{Version: c.Version, Digest: signal.SumOf(c.Config)})
 	}
 	return c
 }
--- a/exchange/frame/view.go
+++ b/exchange/frame/view.go
@@ -1,7 +1,6 @@
 package frame
 
 import (
-	"bytes"
 	"slices"
 	"time"
 
@@ -387,7 +386,7 @@
 		return nil, signal.ErrBase
 	}
 	text, err := m.Config.Unpack(f.next.Version, f.next.Config)
-	if err == nil && len(m.Past) > 0 && !bytes.Equal(DigestOf(text), m.Past[len(m.Past)-1].Digest) {
+	if err == nil && len(m.Past) > 0 && signal.SumOf(text) != m.Past[len(m.Past)-1].Digest {
 		return nil, signal.ErrDigest
 	}
 	return text, err
--- a/exchange/signal/codec.go
+++ b/exchange/signal/codec.go
@@ -14,7 +14,7 @@
 type field struct {
 	num   protowire.Number
 	index int
-	kind  reflect.Kind // of the field; Slice: of its elements, see elem
+	kind  reflect.Kind // of the field; Slice: of its elements, see elem; Array: of bytes
 	elem  reflect.Kind
 }
 
@@ -66,6 +66,12 @@
 		case reflect.String:
 			buf = protowire.AppendTag(buf, f.num, protowire.BytesType)
 			buf = protowire.AppendString(buf, fv.String())
+		case reflect.Array:
+			buf = protowire.AppendTag(buf, f.num, protowire.BytesType)
+			buf = protowire.AppendVarint(buf, uint64(fv.Len()))
+			for i := range fv.Len() {
+				buf = append(buf, byte(fv.Index(i).Uint()))
+			}
 		case reflect.Pointer, reflect.Struct:
 			buf = appendStruct(buf, f.num, reflect.Indirect(fv))
 		case reflect.Slice:
@@ -158,6 +164,11 @@
 		fv.SetFloat(math.Float64frombits(n))
 	case reflect.String:
 		fv.SetString(string(inner))
+	case reflect.Array:
+		if len(inner) != fv.Len() {
+			return errType
+		}
+		reflect.Copy(fv, reflect.ValueOf(inner))
 	case reflect.Struct:
 		return decode(inner, fv)
 	case reflect.Pointer:
--- a/exchange/signal/ranges.go
+++ b/exchange/signal/ranges.go
@@ -18,15 +18,15 @@
 	rangeMost  = 32 << 10 // a range this long ends with the item, and a longer item is cut
 )
 
-// sumSize is the length of a range's digest.
+// sumSize is the length of a digest.
 const sumSize = 16
 
-// Sum is the digest of a range.
+// Sum is the digest of a text, or of a part of one: the first 128 bits of its SHA-256.
 type Sum [sumSize]byte
 
-// SumOf returns the digest of a range.
-func SumOf(part []byte) Sum {
-	sum := sha256.Sum256(part)
+// SumOf returns the digest of a text.
+func SumOf(text []byte) Sum {
+	sum := sha256.Sum256(text)
 	return Sum(sum[:sumSize])
 }
 
--- a/exchange/signal/signal.go
+++ b/exchange/signal/signal.go
@@ -3,7 +3,6 @@
 package signal
 
 import (
-	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -174,12 +173,7 @@
 // Taken is a number of a configuration that was taken, and what it stands for.
 type Taken struct {
 	Version uint64 `pb:"1"`
-	Digest  []byte `pb:"2"` // of the text: the first 16 bytes of its SHA-256
-}
-
-// Equal reports whether two entries are the same.
-func (t Taken) Equal(other Taken) bool {
-	return t.Version == other.Version && bytes.Equal(t.Digest, other.Digest)
+	Digest  Sum    `pb:"2"` // of the text
 }
 
 // Machine is a machine of the system.
--- a/exchange/signal/signal_test.go
+++ b/exchange/signal/signal_test.go
@@ -19,7 +19,8 @@
 		in := &Message{Kind: News, Call: call, Version: version, Chain: chain, Config: &Packed{Base: call,
 			Raw: config}, OK: ok,
 			List:    &List{Epoch: call, Servers: []Server{{ID: "i-1", Addr: "10.0.0.1:80", Capacity: version}}},
-			Members: []Machine{{Addr: "a", Zone: "z"}, {Addr: "b"}}, Tolls: []Toll{{"t", tokens, -tokens}}}
+			Members: []Machine{{Addr: "a", Zone: "z"}, {Addr: "b"}}, Tolls: []Toll{{"t", tokens, -tokens}},
+			Past: []Taken{{version, SumOf(config)}, {Version: call}}}
 		if len(chain) == 0 {
 			in.Chain = nil
 		}
--- a/exchange/vault/changes_test.go
+++ b/exchange/vault/changes_test.go
@@ -48,7 +48,7 @@
 	}
 	h.r.Version++
 	h.r.Config = bytes.Join(h.items, nil)
-	taken := signal.Taken{Version: h.r.Version, Digest: frame.DigestOf(h.r.Config)}
+	taken := signal.Taken{Version: h.r.Version, Digest: signal.SumOf(h.r.Config)}
 	h.r.Past = append(h.r.Past[max(0, len(h.r.Past)-511):len(h.r.Past):len(h.r.Past)], taken)
 	return h.r
 }
--- a/exchange/vault/crash_test.go
+++ b/exchange/vault/crash_test.go
@@ -108,7 +108,7 @@
 	return frame.Record{Whole: true, Registry: []signal.Machine{{Addr: "a", Zone: "z"}},
 		Promised: uint64(64 * i), Epoch: uint64(64 * i), Chain: []string{"a", "b"},
 		Content: frame.Content{Stamp: uint64(64 * i), Version: uint64(i), Config: config,
-			Past: []signal.Taken{{Version: uint64(i), Digest: frame.DigestOf(config)}}}}
+			Past: []signal.Taken{{Version: uint64(i), Digest: signal.SumOf(config)}}}}
 }
 
 // number tells which record one is; -1: none that was ever saved.
--- a/exchange/vault/store.go
+++ b/exchange/vault/store.go
@@ -324,7 +324,7 @@
 	if there == nil || !bytes.Equal(r.Config, there.Config) {
 		ranges = s.setRanges(b, r.Config, set)
 	}
-	if there == nil || !slices.EqualFunc(r.Past, there.Past, signal.Taken.Equal) {
+	if there == nil || !slices.Equal(r.Past, there.Past) {
 		text := signal.Encode(nil, &storedPast{r.Past})
 		past = signal.SumOf(text)
 		set(keyPast, text)
