Derive what is on its way down the chain, and search numbers in one way

Cause: Frame.flight was set from the version on its way and the committed one at each look, and again where a batch began, and reset with the state, though nothing but that look read it. pass searched the numbers by sort.Search, content.go by slices.BinarySearchFunc.

Change: advance compares the two versions, the field is gone. Content.above gives the numbers above one, by the search that there is.

Measured: exchange/rehearsal with -race: no failure.

--- a/exchange/frame/chain.go
+++ b/exchange/frame/chain.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"dunespoke/exchange/signal"
@@ -73,9 +72,8 @@
 	if f.place() != 0 {
 		return
 	}
-	f.flight = f.next.Version > f.committed
 	f.conclude()
-	if f.flight {
+	if f.next.Version > f.committed { // one is on its way
 		return
 	}
 	var batch []signal.Taken
@@ -92,7 +90,6 @@
 	if len(batch) == 0 {
 		return
 	}
-	f.flight = true
 	f.next.Stamp, f.next.Past = f.epoch, remember(f.next.Past, batch...)
 	f.saveAndRelay()
 }
@@ -158,11 +155,8 @@
 	again := f.passed == f.rec.Version // the first time did not do it: without a base
 	f.sentAt, f.passed = f.now, f.rec.Version
 	if at < len(f.chain)-1 {
-		past := f.rec.Past[sort.Search(len(f.rec.Past), func(i int) bool {
-			return f.rec.Past[i].Version > f.committed
-		}):]
 		f.Actions.Send(f.chain[at+1], &signal.Message{Kind: signal.Relay, Epoch: f.epoch, Version: f.rec.Version,
-			Past: past, Config: f.packed(f.held(), f.committed, !again)})
+			Past: f.rec.above(f.committed), Config: f.packed(f.held(), f.committed, !again)})
 		return
 	}
 	m := &signal.Message{Kind: signal.Done, Epoch: f.epoch, Version: f.rec.Version}
--- a/exchange/frame/content.go
+++ b/exchange/frame/content.go
@@ -35,6 +35,12 @@
 	return sum, known
 }
 
+// above returns the numbers above one.
+func (c *Content) above(version uint64) []signal.Taken {
+	i, _ := slices.BinarySearchFunc(c.Past, version+1, byVersion)
+	return c.Past[i:]
+}
+
 func byVersion(t signal.Taken, version uint64) int { return cmp.Compare(t.Version, version) }
 
 // same reports whether a content has the text that an entry tells.
--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -131,7 +131,6 @@
 	passed uint64                       // the version that was sent down the chain last
 	texts  []text                       // the configurations committed last
 	packs  map[[2]uint64]*signal.Packed // of the one on disk, by its version and the base
-	flight bool                         // a configuration is on its way down the chain
 	sentAt time.Duration
 	asks   map[uint64]*ask
 	askSeq uint64
@@ -219,7 +218,6 @@
 	}
 	if s != InService {
 		f.served = false
-		f.flight = false
 		for i := range f.puts {
 			f.puts[i].rides = false
 		}
