--- a/exchange/frame/chain.go
+++ b/exchange/frame/chain.go
@@ -90,7 +90,7 @@
 	if len(batch) == 0 {
 		return
 	}
-	f.next.Stamp, f.next.Past = f.epoch, remember(f.next.Past, batch...)
+	f.next.Stamp, f.next.Past = f.epoch, Remember(f.next.Past, batch...)
 	f.saveAndRelay()
 }
 
@@ -181,7 +181,7 @@
 			return // it comes again, whole
 		}
 		f.next.Content = Content{Stamp: f.epoch, Version: m.Version, Config: config,
-			Past: remember(f.next.Past, m.Past...)}
+			Past: Remember(f.next.Past, m.Past...)}
 		f.saveAndRelay()
 	case m.Version == f.rec.Version: // once more: an answer was lost
 		f.pass()
--- a/exchange/frame/content.go
+++ b/exchange/frame/content.go
@@ -7,10 +7,10 @@
 	"dunespoke/exchange/signal"
 )
 
-// mostPast is how many numbers are remembered, with the digest of what stands under each: an order that is
-// sent again is told apart from another one under its number. Of older ones nothing is known any more, and
-// they are acknowledged as all that is not above the number held.
-const mostPast = 512
+// leastPast is how many numbers are remembered at the least, with the digest of what stands under each: an
+// order that is sent again is told apart from another one under its number. Of older ones nothing is known
+// any more, and they are acknowledged as all that is not above the number held.
+const leastPast = 512
 
 // Content is what the core keeps for its operators: one configuration, and what is known of earlier ones.
 type Content struct {
@@ -60,18 +60,19 @@
 // known returns a content as it was found on a disk. An earlier program kept nothing but the text.
 func (c Content) known() Content {
 	if _, known := c.digest(c.Version); c.Version > 0 && !known {
-		c.Past = remember(c.Past, signal.Taken{Version: c.Version, Digest: signal.SumOf(c.Config)})
+		c.Past = Remember(c.Past, signal.Taken{Version: c.Version, Digest: signal.SumOf(c.Config)})
 	}
 	return c
 }
 
-// remember returns the numbers with more of them. What is remembered of a number stays.
-func remember(past []signal.Taken, more ...signal.Taken) []signal.Taken {
+// Remember returns the numbers with more of them. What is remembered of a number stays. Of the oldest, whole
+// chunks are dropped, so that the others stay where they are.
+func Remember(past []signal.Taken, more ...signal.Taken) []signal.Taken {
 	past = slices.Clone(past) // others hold the old one
 	for _, t := range more {
 		if i, found := slices.BinarySearchFunc(past, t.Version, byVersion); !found {
 			past = slices.Insert(past, i, t)
 		}
 	}
-	return past[max(0, len(past)-mostPast):]
+	return past[max(0, len(past)-leastPast)/signal.TakenChunk*signal.TakenChunk:]
 }
--- a/exchange/frame/view.go
+++ b/exchange/frame/view.go
@@ -221,7 +221,7 @@
 	m, has := &signal.Message{Kind: signal.Prepare, Epoch: r.epoch, Stamp: f.rec.Stamp,
 		Version: f.rec.Version, Past: f.rec.last(), Generation: f.rec.Generation}, r.promised
 	if f.took == 0 && !again { // it was just started: others may have a newer one
-		m.Outline = signal.Outline(f.rec.Config)
+		m.Outline = signal.Outline(f.rec.Config, signal.Ranges)
 	}
 	if f.state == Installing {
 		has = r.has
@@ -244,7 +244,7 @@
 	switch {
 	case !whole && len(h.last) > 0 && r.newest.same(h.last[len(h.last)-1]):
 	case !whole && told && len(h.outline) > 0:
-		m.Config = signal.PackOver(r.newest.Config, h.version, h.outline)
+		m.Config = signal.PackOver(r.newest.Config, h.version, h.outline, signal.Ranges)
 	default:
 		if r.whole == nil {
 			r.whole = signal.Pack(r.newest.Config, 0, nil)
@@ -299,13 +299,13 @@
 	same := len(m.Past) > 0 && f.rec.same(m.Past[len(m.Past)-1])
 	switch newer := f.rec.newer(m.Stamp, m.Version); {
 	case newer && !same:
-		p.Past, p.Config = f.rec.Past, signal.PackOver(f.rec.Config, m.Version, m.Outline)
+		p.Past, p.Config = f.rec.Past, signal.PackOver(f.rec.Config, m.Version, m.Outline, signal.Ranges)
 	case newer:
 		p.Past = f.rec.Past
 	case same:
 		p.Past = f.rec.last()
 	default:
-		p.Past, p.Outline = f.rec.last(), signal.Outline(f.rec.Config)
+		p.Past, p.Outline = f.rec.last(), signal.Outline(f.rec.Config, signal.Ranges)
 	}
 	f.Actions.Send(from, p)
 }
--- a/exchange/signal/ranges.go
+++ b/exchange/signal/ranges.go
@@ -30,6 +30,9 @@
 	return Sum(sum[:sumSize])
 }
 
+// Cut cuts a text into parts and calls f with each, in order: Ranges or TakenChunks.
+type Cut func(text []byte, f func(part []byte))
+
 // Ranges cuts a text into its ranges and calls f with each, in order.
 func Ranges(text []byte, f func(part []byte)) {
 	begin := 0
@@ -51,11 +54,11 @@
 	}
 }
 
-// Outline returns the digests and lengths of a text's ranges: some twenty bytes for eight thousand. It is
-// what a machine tells of the text that it has.
-func Outline(text []byte) []byte {
+// Outline returns the digests and lengths of a text's parts: some twenty bytes for a range of eight thousand.
+// It is what a machine tells of the text that it has.
+func Outline(text []byte, cut Cut) []byte {
 	var b []byte
-	Ranges(text, func(part []byte) {
+	cut(text, func(part []byte) {
 		sum := SumOf(part)
 		b = binary.AppendUvarint(append(b, sum[:]...), uint64(len(part)))
 	})
@@ -64,7 +67,7 @@
 
 // PackOver packs a text as a change of what the receiver has, of which only the outline is known, and the
 // version, which may be of any age. Without an outline, or with one that can't be read, the text goes whole.
-func PackOver(text []byte, base uint64, outline []byte) *Packed {
+func PackOver(text []byte, base uint64, outline []byte, cut Cut) *Packed {
 	places := map[Sum]uint64{}
 	at := uint64(0)
 	for len(outline) > sumSize {
@@ -80,7 +83,7 @@
 		return Pack(text, 0, nil)
 	}
 	c := &change{}
-	Ranges(text, func(part []byte) {
+	cut(text, func(part []byte) {
 		from, same := places[SumOf(part)]
 		c.add(from, same, part)
 	})
--- a/exchange/signal/ranges_test.go
+++ b/exchange/signal/ranges_test.go
@@ -65,7 +65,7 @@
 		if !bytes.Equal(joined, text) {
 			return "the ranges are not the text"
 		}
-		packed := PackOver(text, 7, Outline(old))
+		packed := PackOver(text, 7, Outline(old, Ranges), Ranges)
 		if got, err := packed.Unpack(7, old); err != nil || !bytes.Equal(got, text) {
 			return fmt.Sprint("not as sent: ", err)
 		}
@@ -76,8 +76,10 @@
 				return fmt.Sprint("over another text: ", err)
 			}
 		}
-		if got, err := PackOver(text, 7, Outline(old)[:rng.IntN(len(Outline(old))+1)]).Unpack(7, old); err == nil &&
-			!bytes.Equal(got, text) {
+		outline := Outline(old, Ranges)
+		outline = outline[:rng.IntN(len(outline)+1)]
+		got, err := PackOver(text, 7, outline, Ranges).Unpack(7, old)
+		if err == nil && !bytes.Equal(got, text) {
 			return "over an outline that is cut off"
 		}
 		return ""
@@ -91,7 +93,7 @@
 	rng := rand.New(rand.NewPCG(7, 7))
 	items := routes(rng, 14_000)
 	old := bytes.Join(items, nil)
-	outline := Outline(old)
+	outline := Outline(old, Ranges)
 	whole := len(Encode(nil, Pack(old, 0, nil)))
 	t.Logf("text %d, squeezed %d, outline %d", len(old), whole, len(outline))
 	if len(outline) > len(old)/100 {
@@ -104,7 +106,7 @@
 			items[at] = route(rng, at)
 		}
 		text := bytes.Join(items, nil)
-		if n := len(Encode(nil, PackOver(text, 1, outline))); n > c.most {
+		if n := len(Encode(nil, PackOver(text, 1, outline, Ranges))); n > c.most {
 			t.Errorf("%d changes: %d bytes", c.changes, n)
 		} else {
 			t.Logf("%d changes: %d bytes", c.changes, n)
--- a/exchange/vault/changes_test.go
+++ b/exchange/vault/changes_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/pebble/v2"
+
 	"dunespoke/exchange/frame"
 	"dunespoke/exchange/signal"
 )
@@ -49,7 +51,7 @@
 	h.r.Version++
 	h.r.Config = bytes.Join(h.items, nil)
 	taken := signal.Taken{Version: h.r.Version, Digest: signal.SumOf(h.r.Config)}
-	h.r.Past = append(h.r.Past[max(0, len(h.r.Past)-511):len(h.r.Past):len(h.r.Past)], taken)
+	h.r.Past = frame.Remember(h.r.Past, taken)
 	return h.r
 }
 
@@ -65,10 +67,15 @@
 }
 
 // changes saves a history of n changes of so many items each, and returns the most that its folder took in
-// each half of it, and how long the last opening took.
-func changes(t testing.TB, routes, each, n int) (first, second int64, opening time.Duration) {
+// each half of it, how long the last opening took, and how many bytes a change wrote in batches.
+func changes(t testing.TB, routes, each, n int) (first, second int64, opening time.Duration, batch int) {
 	dir, h := t.TempDir(), newHistory(routes)
-	v, _, err := Open(dir)
+	w, written := onDisk, 0
+	w.commit = func(db *pebble.DB, b *pebble.Batch) error {
+		written += b.Len()
+		return onDisk.commit(db, b)
+	}
+	v, _, err := open(dir, w)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -96,13 +103,13 @@
 		t.Fatalf("opened again: version %d of %d, %v", r.Version, last.Version, err)
 	}
 	v.Close(time.Minute)
-	return first, second, opening
+	return first, second, opening, written / n
 }
 
 // Given hundreds of changes, when as many follow, then the store takes no more of the disk than before, and
 // little beside the configuration itself.
 func TestAStoreDoesNotGrowWithChanges(t *testing.T) {
-	first, second, _ := changes(t, 700, 1, 1200)
+	first, second, _, _ := changes(t, 700, 1, 1200)
 	t.Logf("at most %d kB, then %d kB", first>>10, second>>10)
 	if second > first*5/4+1<<20 || second > 12<<20 {
 		t.Errorf("at most %d bytes in the first half, %d in the second", first, second)
@@ -116,13 +123,60 @@
 			runtime.GC()
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			first, second, opening := changes(b, c.routes, c.each, b.N)
+			first, second, opening, batch := changes(b, c.routes, c.each, b.N)
 			runtime.GC()
 			runtime.ReadMemStats(&after)
 			b.ReportMetric(float64(first)/1e6, "MB-first-half")
 			b.ReportMetric(float64(second)/1e6, "MB-second-half")
 			b.ReportMetric(float64(opening.Microseconds())/1e3, "ms-opening")
+			b.ReportMetric(float64(batch), "B-batch")
 			b.ReportMetric(float64(int64(after.HeapInuse)-int64(before.HeapInuse))/1e6, "MB-heap-grown")
 		})
 	}
 }
+
+// dearest saves hundreds of records of which each has one number more than the one before, and returns the
+// most bytes that one of them wrote in its batch.
+func dearest(t *testing.T) (most int) {
+	w := newDisk().ways()
+	commit := w.commit
+	w.commit = func(db *pebble.DB, b *pebble.Batch) error {
+		most = max(most, b.Len())
+		return commit(db, b)
+	}
+	v, _, err := open("data", w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r frame.Record
+	for r.Version < 700 {
+		r.Version++
+		r.Past = frame.Remember(r.Past, signal.Taken{Version: r.Version, Digest: signal.Sum{byte(r.Version)}})
+		if !v.save(r) {
+			t.Fatal("not saved")
+		}
+	}
+	v.Close(time.Minute)
+	if n := len(r.Past); n < 512 || n >= 512+signal.TakenChunk {
+		t.Errorf("%d numbers are remembered", n)
+	}
+	return most
+}
+
+// Given as many numbers as are remembered, when one more is taken, then what is written is a chunk, their
+// list and the head.
+func TestANumberCostsAChunk(t *testing.T) {
+	const bound = 1500
+	most := dearest(t)
+	t.Logf("at most %d bytes", most)
+	if most > bound {
+		t.Errorf("%d bytes", most)
+	}
+	// Seeded defect: they are written whole.
+	defer func(cut signal.Cut) { numbersText.cut = cut }(numbersText.cut)
+	numbersText.cut = func(text []byte, f func([]byte)) { f(text) }
+	if most = dearest(t); most <= bound {
+		t.Errorf("whole: %d bytes", most)
+	}
+	t.Logf("whole: %d bytes", most)
+}
--- a/exchange/vault/crash_test.go
+++ b/exchange/vault/crash_test.go
@@ -11,6 +11,7 @@
 	"reflect"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -92,8 +93,9 @@
 	return left
 }
 
-// record is the i-th that is saved, i from 1. All share the first ranges of their configurations, which come to
-// lie in tables, and no two of them the rest.
+// record is the i-th that is saved, i from 1. All share the first ranges of their configurations, which come
+// to lie in tables, and no two of them the rest. Of the numbers taken, each has 24 more than the one before,
+// and the same chunks but for the first and the last.
 func record(i int) frame.Record {
 	rng := rand.New(rand.NewPCG(uint64(i), 3))
 	var config []byte
@@ -111,8 +113,16 @@
 	}
 	return frame.Record{Whole: true, Registry: []signal.Machine{{Addr: "a", Zone: "z"}},
 		Promised: uint64(64 * i), Epoch: uint64(64 * i), Chain: []string{"a", "b"},
-		Content: frame.Content{Stamp: uint64(64 * i), Version: uint64(i), Config: config,
-			Past: []signal.Taken{{Version: uint64(i), Digest: signal.SumOf(config)}}}}
+		Content: frame.Content{Stamp: uint64(64 * i), Version: uint64(i), Config: config, Past: past(24 * i)}}
+}
+
+// past are the numbers up to one: 64 of them, and what is dropped with the next chunk.
+func past(last int) (list []signal.Taken) {
+	for n := max(0, last-64) / signal.TakenChunk * signal.TakenChunk; n < last; n++ {
+		sum := signal.SumOf([]byte{byte(n), byte(n >> 8)})
+		list = append(list, signal.Taken{Version: uint64(n + 1), Digest: sum})
+	}
+	return list
 }
 
 // number tells which record one is; -1: none that was ever saved.
@@ -552,7 +562,7 @@
 	}
 	i.Close()
 	v.Close(time.Minute)
-	if len(keys) < 5 {
+	if len(keys) < 8 {
 		t.Fatalf("%d keys", len(keys))
 	}
 	for key, value := range keys {
@@ -589,20 +599,24 @@
 	})
 }
 
-// Seeded defect: a store that is read without a look at the digests. The test above finds it.
+// Seeded defect: a store that is read without a look at the digests. The test above finds it by the head, by
+// a range and by a chunk of numbers. A list that is altered has a digest under which nothing lies.
 func TestADamagedStoreFinds(t *testing.T) {
-	found := ""
+	found := map[string]string{}
 	altered(t, func(key string, d *disk) {
 		w := d.ways()
 		w.same = func(signal.Sum, []byte) bool { return true }
 		if f := damages(d, w); f != "" {
-			found = fmt.Sprintf("%q: %s", key, f)
+			kind, _, _ := strings.Cut(key, "/")
+			found[kind] = fmt.Sprintf("%q: %s", key, f)
 		}
 	})
-	if found == "" {
-		t.Error("not found")
+	for _, kind := range []string{"head", "range", "chunk"} {
+		if found[kind] == "" {
+			t.Errorf("%s: not found", kind)
+		}
+		t.Log(found[kind])
 	}
-	t.Log(found)
 }
 
 // Given a store of which any file is cut off, altered or gone, when a machine starts on it, then it is told
--- a/exchange/vault/store.go
+++ b/exchange/vault/store.go
@@ -27,19 +27,30 @@
 	errBroken  = errors.New("vault: the store can't go on")
 )
 
-// Keys of the store. The head tells the digests of the list of ranges and of the numbers taken, and that list
-// those of the ranges, so that what is read is what was written together, or is told as damaged.
+// Keys of the store. The head tells the digests of two lists, and each list those of its parts, so that what
+// is read is what was written together, or is told as damaged.
 var (
-	keyHead   = []byte("head")   // the digest of what follows, and a head
-	keyRanges = []byte("ranges") // the digests of the configuration's ranges, in order
-	keyPast   = []byte("past")   // the numbers taken last
-	keyRange  = "range/"         // and a digest: that range
+	keyHead     = []byte("head") // the digest of what follows, and a head
+	configText  = partedText{[]byte("ranges"), "range/", signal.Ranges}
+	numbersText = partedText{[]byte("numbers"), "chunk/", signal.TakenChunks}
 
-	// Of the form that there was before records had digests: a head without them, and the configuration.
+	// Of earlier forms: the numbers taken as a whole; and before that a head without digests, and the
+	// configuration.
+	keyPast          = []byte("past")
 	keyEarlier       = []byte("record")
 	keyEarlierConfig = []byte("config")
 )
 
+// partedText is a text that the store keeps in parts under their digests, so that a change writes the parts
+// that are new.
+type partedText struct {
+	list []byte // key of the digests of its parts, in order
+	part string // and of a part, before its digest
+	cut  signal.Cut
+}
+
+func (t *partedText) key(sum []byte) []byte { return append([]byte(t.part), sum...) }
+
 // head is a record as it is written, without the configuration and the numbers taken.
 type head struct {
 	Whole    bool             `pb:"1"`
@@ -53,7 +64,8 @@
 	Draft    []signal.Machine `pb:"9"`
 	Stamp    uint64           `pb:"10"` // epoch under which the configuration was accepted
 	Ranges   []byte           `pb:"11"` // digest of the list of ranges
-	Past     []byte           `pb:"12"` // digest of the numbers taken
+	Past     []byte           `pb:"12"` // of an earlier form: digest of the numbers taken
+	Numbers  []byte           `pb:"13"` // digest of the list of their chunks
 
 	ID         uint64           `pb:"30"` // of this store
 	Generation uint64           `pb:"31"`
@@ -75,7 +87,7 @@
 	Config  []byte `pb:"2"`
 }
 
-type storedPast struct {
+type earlierPast struct {
 	Past []signal.Taken `pb:"1"`
 }
 
@@ -119,9 +131,9 @@
 
 	found   frame.Record                  // when it was opened, until it is asked for
 	content atomic.Pointer[frame.Content] // as it is in the store; nil: not known
-	ranges  []byte
-	past    signal.Sum
-	earlier bool // it is of the form that there was before, until the first save
+	ranges  []byte                        // the lists there
+	chunks  []byte
+	earlier [][]byte // keys of earlier forms, until the first save
 }
 
 // openStore opens the store at a path, and reads the record in it. With errRefused the store comes too, and
@@ -266,30 +278,53 @@
 	if len(b) < size || !s.same(signal.Sum(b[:size]), b[size:]) || signal.Decode(b[size:], &h) != nil {
 		return frame.Record{}, trace.Wrap(ErrDamaged, "the head has another digest")
 	}
-	ranges, err := s.part(keyRanges, h.Ranges)
-	if err != nil {
+	var c frame.Content
+	if c.Config, s.ranges, err = s.readText(&configText, h.Ranges); err != nil {
 		return frame.Record{}, err
 	}
-	past, err := s.part(keyPast, h.Past)
-	if err != nil {
+	if c.Past, err = s.readNumbers(&h); err != nil {
 		return frame.Record{}, err
 	}
-	var p storedPast
-	if signal.Decode(past, &p) != nil {
-		return frame.Record{}, trace.Wrap(ErrDamaged, "the numbers taken")
+	c.Stamp, c.Version = h.Stamp, h.Version
+	s.content.Store(&c)
+	return h.record(c), nil
+}
+
+// readText reads a text and the list of its parts.
+func (s *store) readText(t *partedText, sum []byte) (whole, list []byte, err error) {
+	if list, err = s.part(t.list, sum); err != nil {
+		return nil, nil, err
 	}
-	var config []byte
-	for sum := range slices.Chunk(ranges, size) {
-		part, err := s.part(rangeKey(sum), sum)
+	for sum := range slices.Chunk(list, len(signal.Sum{})) {
+		part, err := s.part(t.key(sum), sum)
 		if err != nil {
-			return frame.Record{}, err
+			return nil, nil, err
 		}
-		config = append(config, part...)
+		whole = append(whole, part...)
 	}
-	c := frame.Content{Stamp: h.Stamp, Version: h.Version, Config: slices.Clip(config), Past: p.Past}
-	s.content.Store(&c)
-	s.ranges, s.past = ranges, signal.Sum(h.Past)
-	return h.record(c), nil
+	return slices.Clip(whole), list, nil
+}
+
+// readNumbers reads the numbers taken. Those of the earlier form are written anew with the first save.
+func (s *store) readNumbers(h *head) (past []signal.Taken, err error) {
+	if len(h.Numbers) == 0 {
+		var p earlierPast
+		b, err := s.part(keyPast, h.Past)
+		if err == nil && signal.Decode(b, &p) != nil {
+			err = trace.Wrap(ErrDamaged, "the numbers taken")
+		}
+		s.earlier = append(s.earlier, keyPast)
+		return p.Past, err
+	}
+	b, chunks, err := s.readText(&numbersText, h.Numbers)
+	if err != nil {
+		return nil, err
+	}
+	s.chunks = chunks
+	if past, err = signal.DecodeTaken(b); err != nil {
+		err = trace.Wrap(ErrDamaged, "the numbers taken")
+	}
+	return past, err
 }
 
 // readEarlier reads a record of the earlier form; the zero one from an empty store. The first save writes all
@@ -307,13 +342,11 @@
 		case signal.Decode(b, into) != nil:
 			return frame.Record{}, trace.Wrap(ErrDamaged, "%s can't be read", *key)
 		}
-		s.earlier = true
+		s.earlier = append(s.earlier, *key)
 	}
 	return h.record(frame.Content{Version: c.Version, Config: c.Config}), nil
 }
 
-func rangeKey(sum []byte) []byte { return append([]byte(keyRange), sum...) }
-
 // write writes a record and syncs it: what differs from the one that is there, in one batch. After an error
 // it is unknown whether the record is there; unless that is errRefused, the store is to be given up.
 func (s *store) write(r frame.Record) error { return s.do(func() error { return s.change(r) }) }
@@ -323,24 +356,21 @@
 	defer b.Close()
 	var failed error
 	set := func(key, value []byte) { failed = errors.Join(failed, b.Set(key, value, nil)) }
-	ranges, past, there := s.ranges, s.past, s.content.Load()
+	ranges, chunks, there := s.ranges, s.chunks, s.content.Load()
 	if there == nil || !bytes.Equal(r.Config, there.Config) {
-		ranges = s.setRanges(b, r.Config, set)
+		ranges = setText(b, &configText, r.Config, s.ranges, set)
 	}
-	if there == nil || !slices.Equal(r.Past, there.Past) {
-		text := signal.Encode(nil, &storedPast{r.Past})
-		past = signal.SumOf(text)
-		set(keyPast, text)
+	if there == nil || len(s.earlier) > 0 || !slices.Equal(r.Past, there.Past) {
+		chunks = setText(b, &numbersText, signal.EncodeTaken(r.Past), s.chunks, set)
 	}
-	if s.earlier {
-		b.Delete(keyEarlier, nil)
-		b.Delete(keyEarlierConfig, nil)
+	for _, key := range s.earlier {
+		b.Delete(key, nil)
 	}
-	list := signal.SumOf(ranges)
+	rangesSum, chunksSum := signal.SumOf(ranges), signal.SumOf(chunks)
 	text := signal.Encode(nil, &head{Whole: r.Whole, Registry: r.Registry, Promised: r.Promised, Epoch: r.Epoch,
 		Chain: r.Chain, Version: r.Version, Pledged: r.Founding.Pledged, Ballot: r.Founding.Ballot,
-		Draft: r.Founding.Draft, Stamp: r.Stamp, Ranges: list[:], Past: past[:], ID: r.ID,
-		Generation: r.Generation, Former: r.Former, Sure: r.Founding.Sure, Seeds: r.Founding.Seeds})
+		Draft: r.Founding.Draft, Stamp: r.Stamp, Ranges: rangesSum[:], Numbers: chunksSum[:],
+		ID: r.ID, Generation: r.Generation, Former: r.Former, Sure: r.Founding.Sure, Seeds: r.Founding.Seeds})
 	sum := signal.SumOf(text)
 	set(keyHead, append(sum[:], text...))
 	if failed != nil {
@@ -350,33 +380,33 @@
 		return trace.Wrap(err)
 	}
 	s.content.Store(&r.Content)
-	s.ranges, s.past, s.earlier = ranges, past, false
+	s.ranges, s.chunks, s.earlier = ranges, chunks, nil
 	return nil
 }
 
-// setRanges writes the ranges of a configuration that are not there, and removes those that it has no more.
-func (s *store) setRanges(b *pebble.Batch, config []byte, set func(key, value []byte)) []byte {
-	const size = len(signal.Sum{})
+// setText writes the parts of a text that are not there, removes those that it has no more, and returns the
+// list of its parts.
+func setText(b *pebble.Batch, t *partedText, now, before []byte, set func(key, value []byte)) []byte {
 	gone := map[string]bool{}
-	for sum := range slices.Chunk(s.ranges, size) {
+	for sum := range slices.Chunk(before, len(signal.Sum{})) {
 		gone[string(sum)] = true
 	}
 	list, there := []byte{}, map[string]bool{}
-	signal.Ranges(config, func(part []byte) {
+	t.cut(now, func(part []byte) {
 		sum := signal.SumOf(part)
 		list = append(list, sum[:]...)
 		key := string(sum[:])
 		if !gone[key] && !there[key] {
-			set(rangeKey(sum[:]), part)
+			set(t.key(sum[:]), part)
 		}
 		there[key] = true
 	})
 	for sum := range gone {
 		if !there[sum] {
-			b.Delete(rangeKey([]byte(sum)), nil)
+			b.Delete(t.key([]byte(sum)), nil)
 		}
 	}
-	set(keyRanges, list)
+	set(t.list, list)
 	return list
 }
 
--- a/exchange/vault/vault_test.go
+++ b/exchange/vault/vault_test.go
@@ -118,41 +118,63 @@
 	}
 }
 
-// Given the store of a machine that ran an earlier program, when it is opened, then the record is there, and
+// Given the stores of machines that ran earlier programs, when they are opened, then the record is there, and
 // the first save writes it in the form that there is now.
 func TestAStoreOfAnEarlierFormIsTakenOver(t *testing.T) {
-	dir := t.TempDir()
-	db, err := pebble.Open(filepath.Join(dir, storeName), &pebble.Options{Logger: quiet{}})
-	if err != nil {
-		t.Fatal(err)
-	}
 	want := frame.Record{Whole: true, Registry: []signal.Machine{{Addr: "a", Zone: "z"}}, Promised: 192,
 		Epoch: 128, Chain: []string{"a"}, Content: frame.Content{Version: 7, Config: []byte("text")}}
-	for key, v := range map[*[]byte]any{
-		&keyEarlier: &head{Whole: true, Registry: want.Registry, Promised: 192, Epoch: 128, Chain: want.Chain,
-			Version: 7},
-		&keyEarlierConfig: &earlierConfig{7, want.Config}} {
-		if err := db.Set(*key, signal.Encode(nil, v), pebble.Sync); err != nil {
+	numbered := want
+	numbered.Past = past(70)
+	h := head{Whole: true, Registry: want.Registry, Promised: 192, Epoch: 128, Chain: want.Chain, Version: 7}
+	under := func(text []byte) []byte {
+		sum := signal.SumOf(text)
+		return sum[:]
+	}
+	range1, whole, numberedHead := under(want.Config), signal.Encode(nil, &earlierPast{numbered.Past}), h
+	numberedHead.Ranges, numberedHead.Past = under(range1), under(whole)
+	text := signal.Encode(nil, &numberedHead)
+	for _, c := range []struct {
+		want frame.Record
+		keys map[string][]byte
+		gone []byte // a key that the first save removes
+	}{
+		{want, map[string][]byte{
+			string(keyEarlier):       signal.Encode(nil, &h),
+			string(keyEarlierConfig): signal.Encode(nil, &earlierConfig{7, want.Config}),
+		}, keyEarlier},
+		{numbered, map[string][]byte{
+			string(keyHead):                append(under(text), text...),
+			string(configText.list):        range1,
+			string(configText.key(range1)): want.Config,
+			string(keyPast):                whole,
+		}, keyPast},
+	} {
+		dir, want := t.TempDir(), c.want
+		db, err := pebble.Open(filepath.Join(dir, storeName), &pebble.Options{Logger: quiet{}})
+		if err != nil {
 			t.Fatal(err)
 		}
-	}
-	if err := db.Close(); err != nil {
-		t.Fatal(err)
-	}
-	for _, stamp := range []uint64{0, 256} {
-		v, got, err := Open(dir)
-		if err != nil || !reflect.DeepEqual(got, want) {
-			t.Fatalf("%+v, %v; want %+v", got, err, want)
+		for key, value := range c.keys {
+			if err := db.Set([]byte(key), value, pebble.Sync); err != nil {
+				t.Fatal(err)
+			}
 		}
-		_, err = v.store.get(keyEarlier)
-		if earlier := err == nil; earlier != (stamp == 0) {
-			t.Errorf("what there was before is there: %v", earlier)
+		if err := db.Close(); err != nil {
+			t.Fatal(err)
 		}
-		saved := make(chan bool)
-		want.Stamp = 256
-		v.Save(want, func(ok bool) { saved <- ok })
-		if !<-saved || v.Close(time.Minute) != nil {
-			t.Fatal("not saved")
+		for _, stamp := range []uint64{0, 256} {
+			v, got, err := Open(dir)
+			if err != nil || v.Damaged() != nil || !reflect.DeepEqual(got, want) {
+				t.Fatalf("%+v, %v, %v; want %+v", got, err, v.Damaged(), want)
+			}
+			_, err = v.store.get(c.gone)
+			if earlier := err == nil; earlier != (stamp == 0) {
+				t.Errorf("%s: what there was before is there: %v", c.gone, earlier)
+			}
+			want.Stamp = 256
+			if !v.save(want) || v.Close(time.Minute) != nil {
+				t.Fatal("not saved")
+			}
 		}
 	}
 }
