Count a founder's votes as a view's round does: one quorate for both

Change: quorate and majority take any electorate: a registry of members, or the seeds of a first start. A founder asks it whether the sure pledges, and the drafts, are a majority of its seeds. No behaviour changes.

--- a/exchange/frame/founder.go
+++ b/exchange/frame/founder.go
@@ -93,8 +93,6 @@
 	return f.draft
 }
 
-func (f *Founder) majority() int { return len(f.o.Seeds)/2 + 1 }
-
 // Hello takes the word of a machine that knows of no core.
 func (f *Founder) Hello(now time.Duration, from string, m *signal.Message) {
 	f.now = now
@@ -226,13 +224,8 @@
 		f.newest, f.draft = m.Version, m.Registry
 	}
 	f.answers[from] = m.OK
-	sure := 0
-	for _, s := range f.answers {
-		if s {
-			sure++
-		}
-	}
-	if sure >= f.majority() || len(f.answers) == len(f.o.Seeds) {
+	sure := func(seed string) bool { return f.answers[seed] }
+	if quorate(sure, f.o.Seeds) || len(f.answers) == len(f.o.Seeds) {
 		f.become(Drafting)
 		f.toSeeds(&signal.Message{Kind: signal.Draft, Epoch: f.ballot, Registry: f.draft})
 	}
@@ -256,7 +249,8 @@
 	if f.state != Drafting || m.Epoch != f.ballot {
 		return
 	}
-	if f.answers[from] = true; len(f.answers) >= f.majority() {
+	f.answers[from] = true
+	if quorate(func(seed string) bool { return f.answers[seed] }, f.o.Seeds) {
 		f.become(Decided)
 	}
 }
--- a/exchange/frame/members.go
+++ b/exchange/frame/members.go
@@ -30,8 +30,8 @@
 	ready bool // it has what there was on its disk
 }
 
-// majority is how many of a registry agree for all.
-func majority(registry []signal.Machine) int { return len(registry)/2 + 1 }
+// majority is how many of an electorate agree for all.
+func majority[T any](all []T) int { return len(all)/2 + 1 }
 
 // at reports whether a registry has a member at an address.
 func at(registry []signal.Machine, addr string) bool {
@@ -43,16 +43,17 @@
 	return slices.ContainsFunc(registry, func(r signal.Machine) bool { return r.Addr == m.Addr && r.ID == m.ID })
 }
 
-// quorate reports whether those that a condition holds for are a majority of each of some registries.
-func quorate(holds func(m signal.Machine) bool, registries ...[]signal.Machine) bool {
-	for _, registry := range registries {
+// quorate reports whether those that a condition holds for are a majority of each of some electorates:
+// registries of members, or the seeds of a first start.
+func quorate[T any](holds func(voter T) bool, electorates ...[]T) bool {
+	for _, all := range electorates {
 		n := 0
-		for _, m := range registry {
-			if holds(m) {
+		for _, voter := range all {
+			if holds(voter) {
 				n++
 			}
 		}
-		if n < majority(registry) {
+		if n < majority(all) {
 			return false
 		}
 	}
