Keep a machine out that staff have removed, until they add it

Cause: a member that staff removed while it ran gave up its membership, took another id as it has to, and came back as a newcomer where the core was too small. Change: with the registry goes a list of those that staff have removed or replaced, the last 64, by their ids: installed, told and kept with it, so agreed as it is. Who learns of its removal finds itself there, notes that on its disk beside its next id, and says so in its Hello: such a candidate takes nobody's place by itself, and core add clears the note. One line each in the news of a frame, in the extension that tells on whom it knows, and in the head of the vault carry the list. The rehearsal holds all disks to one list a generation, too. TestMembersAreKeptSpread starts another spare: the one that it had replaced by hand stays out now.

--- a/exchange/extension/extension.go
+++ b/exchange/extension/extension.go
@@ -76,8 +76,9 @@
 	now        time.Duration
 	state      State
 	registry   []signal.Machine
-	generation uint64 // of the registry
-	joint      bool   // the change to it is not known to be complete
+	generation uint64           // of the registry
+	removed    []signal.Machine // that go with it
+	joint      bool             // the change to it is not known to be complete
 	epoch      uint64
 	chain      []string
 	version    uint64
@@ -165,7 +166,7 @@
 func (e *Extension) Roll() *signal.Message {
 	m := &signal.Message{Kind: signal.Roll, Generation: e.generation}
 	if !e.joint {
-		m.Registry = e.registry
+		m.Registry, m.Removed = e.registry, e.removed
 	}
 	return m
 }
@@ -177,6 +178,7 @@
 	if len(m.Registry) == 0 || m.Generation < e.generation || joint && len(e.registry) > 0 {
 		return
 	}
+	e.removed = m.Removed
 	if e.registry, e.joint = m.Registry, joint; !joint {
 		e.generation = m.Generation
 	}
--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -46,9 +46,12 @@
 	// Generation is the epoch of the view that installed the registry; 0: the first start did.
 	Generation uint64
 	Former     []signal.Machine // the registry before, until the change is known to be complete
-	Promised   uint64           // no view below this epoch gets anything from here
-	Epoch      uint64           // of the view installed last
-	Chain      []string         // and its machines
+	// Removed are the members that staff have removed last, with the ids that they had. They go with Registry.
+	Removed  []signal.Machine
+	Barred   bool     // of a machine that was: it is no newcomer until staff add it
+	Promised uint64   // no view below this epoch gets anything from here
+	Epoch    uint64   // of the view installed last
+	Chain    []string // and its machines
 	Content
 	Founding Founding // of a seed, at the first start
 }
--- a/exchange/frame/members.go
+++ b/exchange/frame/members.go
@@ -19,6 +19,9 @@
 	learnEvery = time.Second     // to a candidate that has not answered: a configuration may be long
 	orderWait  = 5 * time.Second // for an order by hand to become a view
 	mostSeats  = epochStep - 1
+	// mostRemoved is how many of those that staff have removed are remembered: who is started again only after
+	// as many more comes as a newcomer.
+	mostRemoved = 64
 )
 
 // candidate is a machine with a disk that would be a member. It is a learner, without a vote, until a view
@@ -28,6 +31,8 @@
 	heard time.Duration
 	asked time.Duration
 	ready bool // it has what there was on its disk
+	// barred: staff have removed it. It takes nobody's place, and comes only if they add it.
+	barred bool
 }
 
 // majority is how many of an electorate agree for all.
@@ -146,7 +151,7 @@
 // Roll returns what this machine tells of the core.
 func (f *Frame) Roll() *signal.Message {
 	return &signal.Message{Kind: signal.Roll, Registry: f.rec.Registry, Generation: f.rec.Generation,
-		Former: f.rec.Former}
+		Former: f.rec.Former, Removed: f.rec.Removed}
 }
 
 // admits reports whether a beat is a member's. One that was removed is told so, and who knows of a newer
@@ -207,10 +212,11 @@
 		return
 	}
 	if !has(m.Registry, f.me()) && !has(m.Former, f.me()) {
-		f.retire(m.Generation)
+		f.retire(m.Generation, m.Removed)
 		return
 	}
 	f.next.Registry, f.next.Former, f.next.Generation = m.Registry, m.Former, m.Generation
+	f.next.Removed = m.Removed
 	f.save(nil)
 	if f.round != nil { // it was asked for by the older one
 		f.become(Aside)
@@ -218,11 +224,13 @@
 }
 
 // retire gives up this machine's membership, for ever: it was removed. What it holds counts no more, and it
-// may come back as another member, with another id. What it has promised stays.
-func (f *Frame) retire(generation uint64) {
-	f.Actions.Log(events.Retired, "generation", generation)
+// may come back as another member, with another id; if staff have removed it, by them alone. What it has
+// promised stays.
+func (f *Frame) retire(generation uint64, removed []signal.Machine) {
+	barred := has(removed, f.me())
+	f.Actions.Log(events.Retired, "generation", generation, "barred", barred)
 	f.retired++
-	f.next = Record{ID: f.Life ^ f.retired<<40, Promised: f.next.Promised, Epoch: f.next.Epoch}
+	f.next = Record{ID: f.Life ^ f.retired<<40, Promised: f.next.Promised, Epoch: f.next.Epoch, Barred: barred}
 	f.took = 0
 	f.become(Blank)
 	f.save(nil)
@@ -239,7 +247,7 @@
 		c = &candidate{Machine: signal.Machine{Addr: from, Zone: m.Zone, ID: m.ID}}
 		f.candidates[from] = c
 	}
-	c.heard = now
+	c.heard, c.barred = now, m.Barred
 	if f.state == InService && !c.ready && f.first() == f.self && (c.asked == 0 || now >= c.asked+learnEvery) {
 		c.asked = now
 		f.Actions.Send(from, &signal.Message{Kind: signal.Learn, ID: c.ID, Stamp: f.rec.Stamp,
@@ -313,10 +321,11 @@
 	return nil
 }
 
-// ready returns the machines that may become members: they have caught up.
+// ready returns the machines that may become members of themselves: they have caught up, and staff have not
+// removed them.
 func (f *Frame) ready() (list []signal.Machine) {
 	for _, c := range f.candidates {
-		if c.ready {
+		if c.ready && !c.barred {
 			list = append(list, c.Machine)
 		}
 	}
@@ -413,6 +422,16 @@
 	f.Actions.Send(o.from, m)
 }
 
+// removed returns the members that staff have removed, once another registry is in force. As they are part of
+// it, who is told of one is told of the other.
+func (f *Frame) removed(next []signal.Machine) []signal.Machine {
+	if f.order == nil || at(next, f.order.remove) {
+		return f.rec.Removed
+	}
+	list := slices.Concat(f.rec.Removed, among(f.rec.Registry, []string{f.order.remove}))
+	return list[max(0, len(list)-mostRemoved):]
+}
+
 // isSo reports whether an order is carried out.
 func (f *Frame) isSo(add, remove string) bool {
 	return (add == "" || at(f.rec.Registry, add)) && (remove == "" || !at(f.rec.Registry, remove))
@@ -490,7 +509,7 @@
 		return false
 	}
 	for _, c := range f.candidates {
-		if f.now <= c.heard+deadAfter && !has(f.rec.Registry, c.Machine) {
+		if f.now <= c.heard+deadAfter && !c.barred && !has(f.rec.Registry, c.Machine) {
 			return true
 		}
 	}
--- a/exchange/frame/news.go
+++ b/exchange/frame/news.go
@@ -103,6 +103,7 @@
 			m.Epoch, m.Chain, now = f.epoch, f.chain, true
 			// With the registry before, where this machine knows of a change that may never be complete.
 			m.Registry, m.Former, m.Generation = f.next.Registry, f.next.Former, f.next.Generation
+			m.Removed = f.next.Removed
 		}
 		now = f.tables(to, &p, m) || now
 	}
--- a/exchange/frame/view.go
+++ b/exchange/frame/view.go
@@ -14,6 +14,7 @@
 	chain    []string
 	registry []signal.Machine
 	former   []signal.Machine // of a change: the registry that it replaces
+	removed  []signal.Machine // by staff, as part of the registry
 	gen      uint64
 	must     [][]signal.Machine // a majority of each has to promise
 	leavers  []string           // live members of former alone: they install, and are in no chain
@@ -169,9 +170,10 @@
 	epoch := (max(f.next.Promised, f.epoch, f.floor)/epochStep+1)*epochStep + f.rec.Registry[i].Seat
 	r := &round{epoch: epoch, chain: want, began: f.now, promised: map[string]bool{},
 		ids: map[string]uint64{}, has: map[string]bool{}, holds: map[string]holding{}, newest: f.rec.Content,
-		registry: f.rec.Registry, former: f.rec.Former, gen: f.rec.Generation, must: f.rec.voters()}
+		registry: f.rec.Registry, former: f.rec.Former, gen: f.rec.Generation, must: f.rec.voters(),
+		removed: f.rec.Removed}
 	if change != nil {
-		r.registry, r.former = change, f.rec.Registry
+		r.registry, r.former, r.removed = change, f.rec.Registry, f.removed(change)
 		r.chain = nil
 		for _, m := range change {
 			if !has(r.former, m) {
@@ -369,7 +371,7 @@
 	r.began = f.now
 	f.round = r
 	r.install = &signal.Message{Kind: signal.Install, Epoch: r.epoch, Chain: r.chain, Registry: r.registry,
-		Former: r.former, Generation: r.gen,
+		Former: r.former, Generation: r.gen, Removed: r.removed,
 		Version: r.newest.Version, Past: r.newest.last()}
 	r.sent = 0
 	f.sendRound()
@@ -416,6 +418,7 @@
 func (f *Frame) take(m *signal.Message, begins Content, then func()) {
 	f.next.Epoch, f.next.Chain, f.next.Promised, f.next.Whole = m.Epoch, m.Chain, m.Epoch, true
 	f.next.Registry, f.next.Former, f.next.Generation = m.Registry, m.Former, m.Generation
+	f.next.Removed, f.next.Barred = m.Removed, false
 	f.next.Content = begins
 	f.next.Stamp = m.Epoch
 	clear(f.packs)
@@ -505,7 +508,7 @@
 	}
 	f.answerOrder()
 	if !has(f.next.Registry, f.me()) {
-		f.retire(f.next.Generation)
+		f.retire(f.next.Generation, f.next.Removed)
 		return
 	}
 	f.next.Former = nil
--- a/exchange/office/office.go
+++ b/exchange/office/office.go
@@ -47,15 +47,18 @@
 	now     time.Duration
 }
 
-// asker has every question of this process say its life.
+// asker has every question of this process say its life, and a machine that staff have removed that it was.
 type asker struct {
 	Actions
-	life uint64
+	f *Office
 }
 
 func (a asker) Send(to string, m *signal.Message) {
 	if m.Asks() {
-		m.Life = a.life
+		m.Life = a.f.o.Life
+	}
+	if m.Kind == signal.Hello && a.f.frame != nil {
+		m.Barred = a.f.frame.Record().Barred
 	}
 	a.Actions.Send(to, m)
 }
@@ -73,9 +76,10 @@
 
 // New returns an Office.
 func New(now time.Duration, o Options) *Office {
-	o.Actions = asker{o.Actions, o.Life}
+	f := &Office{now: now, desk: toll.NewDesk(o.Limits)}
+	o.Actions = asker{o.Actions, f}
 	o.Seeds = slices.Sorted(slices.Values(o.Seeds))
-	f := &Office{o: o, now: now, desk: toll.NewDesk(o.Limits)}
+	f.o = o
 	known := &signal.Message{}
 	if o.Disk != nil {
 		f.frame = frame.New(now, frame.Options{Self: o.Self, Survive: o.Survive, LostAfter: o.LostAfter,
--- a/exchange/rehearsal/members.go
+++ b/exchange/rehearsal/members.go
@@ -18,12 +18,14 @@
 // registries are all that were written on disks, by their generations.
 type registries struct {
 	written map[uint64][]signal.Machine
+	removed map[uint64][]signal.Machine // by staff, as it goes with the registry
 	settled map[uint64][]signal.Machine // the change to it was told as complete
 	held    map[identity]uint64         // the highest generation that a disk has had
 }
 
 func newRegistries() registries {
-	return registries{map[uint64][]signal.Machine{}, map[uint64][]signal.Machine{}, map[identity]uint64{}}
+	none := func() map[uint64][]signal.Machine { return map[uint64][]signal.Machine{} }
+	return registries{none(), none(), none(), map[identity]uint64{}}
 }
 
 // sequence holds all machines to one sequence of registries: those of one generation are the same; and when
@@ -38,7 +40,10 @@
 	if old, known := c.written[g]; known && !slices.Equal(old, r.Registry) {
 		x.breaks("%s is of the core %v by generation %d, others of %v", m.Name, r.Registry, g, old)
 	}
-	c.written[g] = r.Registry
+	if old, known := c.removed[g]; known && !slices.Equal(old, r.Removed) {
+		x.breaks("%s has %v as removed by generation %d, others %v", m.Name, r.Removed, g, old)
+	}
+	c.written[g], c.removed[g] = r.Registry, r.Removed
 	who := identity{m.self.Addr, r.ID}
 	c.held[who] = max(c.held[who], g)
 	if _, known := c.settled[g]; known || len(r.Former) > 0 {
--- a/exchange/rehearsal/members_domains_test.go
+++ b/exchange/rehearsal/members_domains_test.go
@@ -191,6 +191,8 @@
 		t.Errorf("within z2: %q", why)
 	}
 	s.borne(time.Second)
+	s.Add("z2").Start() // the one that staff have replaced doesn't come
+	s.Run(time.Second)
 	lose([]*Machine{old})
 	s.then("one of z2 has the place", 8*time.Second, func() bool {
 		return len(s.Members()) == 3 && !slices.Contains(s.Members(), old.self.Addr) && len(s.Chain()) == 3
--- a/exchange/rehearsal/members_test.go
+++ b/exchange/rehearsal/members_test.go
@@ -421,6 +421,65 @@
 	}
 }
 
+// dismissed plays a member that staff remove while it runs, or while it is cut off from the members and hears
+// of it from a seed without a disk; it is started again, and so are all. It returns whether that is a member
+// again, though nobody has added it.
+func dismissed(t *testing.T, cut bool, spoil func(*Machine, *frame.Record)) (s *story, m *Machine,
+	back bool) {
+	t.Helper()
+	s = given(t, 1)
+	s.Spoil = spoil
+	m = s.Named("z3-1")
+	if s.Isolate(m, cut); cut {
+		s.Run(time.Second)
+	}
+	if ok, why := s.by(s.Named("z1-2"), "", m.self.Addr); !ok {
+		t.Fatal(why)
+	}
+	s.then("it has given up", 8*time.Second, func() bool {
+		if m.office.Frame().Blank() {
+			return true
+		}
+		if s.seeds = []string{s.Named("z2-2").self.Addr}; cut && m.up {
+			m.Kill()
+			m.Start()
+			s.Run(time.Second)
+		}
+		return false
+	})
+	s.HealAll()
+	s.Run(3 * time.Second)
+	m.Kill()
+	m.Start()
+	s.Run(3 * time.Second)
+	s.restartAll()
+	s.then("the others serve", 4*time.Second, func() bool { return len(s.Chain()) >= 2 })
+	s.Run(4 * time.Second)
+	return s, m, slices.Contains(s.Members(), m.self.Addr)
+}
+
+// Given a member that staff have removed, while it ran or was cut off, when it is started again, and all are,
+// and the core is smaller than it should be, then it stays out, until staff add it; another newcomer comes.
+// One that forgets that it was removed is found.
+func TestARemovalByHandSticks(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		s, m, back := dismissed(t, cut, nil)
+		if back {
+			t.Errorf("cut %v: it is back in %v", cut, s.Members())
+		}
+		fresh := s.Add("z3")
+		fresh.Start()
+		s.then("another one comes", 4*time.Second, func() bool { return s.member(fresh) })
+		if ok, why := s.by(s.Named("z1-2"), m.self.Addr, ""); !ok || !s.member(m) || m.record.Barred {
+			t.Errorf("cut %v: added by staff: %v %q, members %v", cut, ok, why, s.Members())
+		}
+		s.ends("after that")
+		if _, _, back := dismissed(t, cut, func(_ *Machine, r *frame.Record) { r.Barred = false }); !back {
+			t.Errorf("cut %v: the seeded defect is not found", cut)
+		}
+	}
+}
+
 // Given a core in which one of three is lost, when staff would remove one of the two others, then that is
 // refused for want of a quorum; and removing the one that is lost is not.
 func TestAChangeByHandLeavesAQuorum(t *testing.T) {
--- a/exchange/signal/signal.go
+++ b/exchange/signal/signal.go
@@ -93,6 +93,8 @@
 	Text       string    `pb:"37"` // of Reformed: why not
 	Spare      uint64    `pb:"38"` // of Reformed: how many members may be lost now
 	Lacks      string    `pb:"48"` // of Reformed: why not all that may be lost at once can be now
+	Removed    []Machine `pb:"53"` // with Registry: the members that staff have removed last
+	Barred     bool      `pb:"54"` // of Hello: staff have removed the sender, and are to add it if anyone
 	Misses     []string  `pb:"50"` // of Beat: members that the sender does not hear
 	Quiet      bool      `pb:"51"` // of Beat: no machine outside the chain can have a lease of the sender
 	Leavers    []string  `pb:"52"` // of Active: who has the view on disk, and leaves the core by it
--- a/exchange/vault/store.go
+++ b/exchange/vault/store.go
@@ -70,6 +70,8 @@
 	ID         uint64           `pb:"30"` // of this store
 	Generation uint64           `pb:"31"`
 	Former     []signal.Machine `pb:"32"`
+	Removed    []signal.Machine `pb:"35"`
+	Barred     bool             `pb:"36"`
 	Sure       bool             `pb:"33"` // of a first start: all that was promised in it is here
 	Seeds      []string         `pb:"34"` // of it
 }
@@ -78,6 +80,7 @@
 func (h *head) record(c frame.Content) frame.Record {
 	return frame.Record{Whole: h.Whole, Registry: h.Registry, Promised: h.Promised, Epoch: h.Epoch,
 		Chain: h.Chain, Content: c, ID: h.ID, Generation: h.Generation, Former: h.Former,
+		Removed: h.Removed, Barred: h.Barred,
 		Founding: frame.Founding{Sure: h.Sure, Seeds: h.Seeds, Pledged: h.Pledged, Ballot: h.Ballot,
 			Draft: h.Draft}}
 }
@@ -370,7 +373,8 @@
 	text := signal.Encode(nil, &head{Whole: r.Whole, Registry: r.Registry, Promised: r.Promised, Epoch: r.Epoch,
 		Chain: r.Chain, Version: r.Version, Pledged: r.Founding.Pledged, Ballot: r.Founding.Ballot,
 		Draft: r.Founding.Draft, Stamp: r.Stamp, Ranges: rangesSum[:], Numbers: chunksSum[:],
-		ID: r.ID, Generation: r.Generation, Former: r.Former, Sure: r.Founding.Sure, Seeds: r.Founding.Seeds})
+		ID: r.ID, Generation: r.Generation, Former: r.Former, Removed: r.Removed, Barred: r.Barred,
+		Sure: r.Founding.Sure, Seeds: r.Founding.Seeds})
 	sum := signal.SumOf(text)
 	set(keyHead, append(sum[:], text...))
 	if failed != nil {
--- a/exchange/vault/vault_test.go
+++ b/exchange/vault/vault_test.go
@@ -34,6 +34,7 @@
 	want.Epoch, want.Chain = 128, []string{"a", "b"}
 	want.ID, want.Generation = 9, 128
 	want.Former = []signal.Machine{{Addr: "a", ID: 8, Seat: 1}}
+	want.Removed, want.Barred = []signal.Machine{{Addr: "b", ID: 7, Seat: 2}}, true
 	want.Founding = frame.Founding{Sure: true, Seeds: []string{"a"}, Pledged: 65, Ballot: 64,
 		Draft: want.Registry}
 	v.Save(want, func(ok bool) { saved <- ok })
