Tell that no loss can be borne only from who was first for 30 s

Change: a constant of its own, 30 s, and the time counts while the machine is first and hears a majority.

--- a/exchange/frame/frame.go
+++ b/exchange/frame/frame.go
@@ -35,6 +35,7 @@
 	foundQuiet  = 400 * time.Millisecond  // without a new machine, before the first start
 	seedWait    = 1500 * time.Millisecond // for a seed that may be starting yet
 	foundFew    = 5 * time.Second         // and then with fewer than survive asks for: quiet_s + confirm_s is 7
+	lackFor     = 30 * time.Second        // that the members can't bear what survive names, before it is told
 	mostPuts    = 64                      // that wait for the head
 )
 
--- a/exchange/frame/members.go
+++ b/exchange/frame/members.go
@@ -571,10 +571,12 @@
 	switch {
 	case why == "":
 		f.lacking, f.lackTold = 0, false
-	case f.state != InService || f.first() != f.self || f.lackTold:
+	case f.lackTold:
+	case f.first() != f.self || !f.Fresh(): // who comes first only for a moment, or alone, has nothing to tell
+		f.lacking = 0
 	case f.lacking == 0:
 		f.lacking = f.now
-	case f.now >= f.lacking+foundFew:
+	case f.now >= f.lacking+lackFor:
 		f.lackTold = true
 		f.Actions.Log(events.Unbearable, "why", why, "members", len(f.rec.Registry))
 	}
