Wait for no lease of who has answered in the view, after a start, too

After the closing loss of power the next keeper waited for 0.64 s: a process that was just started waited for its earlier life's leases even towards a machine that had answered it in the view. Change: who has answered a beat of the view knows of it, and is not waited for.

--- a/exchange/frame/keep.go
+++ b/exchange/frame/keep.go
@@ -38,15 +38,20 @@
 	return f.keep.quiet
 }
 
-// quiet reports that anew. What an earlier life of this process told, it doesn't know.
+// quiet reports that anew. What an earlier life of this process told, it does not know; that is nothing to
+// those who have heard it in this view.
 func (f *Frame) quiet() bool {
+	knows := func(addr string) bool {
+		p := f.peers[addr]
+		return slices.Contains(f.keep.took, addr) || p != nil && p.left == f.epoch
+	}
 	for addr, p := range f.peers {
-		if f.now <= p.beatCame+keepFor && p.left != f.epoch && !slices.Contains(f.keep.took, addr) {
+		if f.now <= p.beatCame+keepFor && !knows(addr) {
 			return false
 		}
 	}
 	return f.now > f.begun+keepFor || !slices.ContainsFunc(f.concerned(), func(m signal.Machine) bool {
-		return !slices.Contains(f.keep.took, m.Addr)
+		return !knows(m.Addr)
 	})
 }
 
--- a/exchange/rehearsal/keeper_test.go
+++ b/exchange/rehearsal/keeper_test.go
@@ -161,6 +161,30 @@
 	}
 }
 
+// Given a core whose processes are all killed, when two of them are back and make a view, and the third is back
+// as a view is being made, then tokens are given soon after it has answered in that view: no earlier life of
+// it can give any.
+func TestNoLeaseIsAwaitedOfWhoHasAnsweredInTheView(t *testing.T) {
+	s := given(t, 1)
+	g := s.asking()
+	s.Run(time.Second)
+	for _, m := range s.Disked() {
+		m.Kill()
+	}
+	s.Run(300 * time.Millisecond)
+	third := s.Named("z3-1")
+	for _, m := range s.others(third) {
+		m.Start()
+	}
+	s.at(200*time.Millisecond, third.Start)
+	s.then("a view of two", 2*time.Second, func() bool { return len(s.Chain()) == 2 })
+	began, last := s.Now, g.last
+	s.then("tokens are given", time.Second, func() bool { return g.last > last })
+	if took := s.Now - began; took > 250*time.Millisecond {
+		t.Errorf("the first tokens %v after the view began", took)
+	}
+}
+
 // heldUp has an ingress's questions for news wait for a while on their way, or come again after it, and ends
 // its process; it returns for how long the others count it as a member.
 func heldUp(t *testing.T, again bool, tamper func(*Machine, *signal.Message)) time.Duration {
