--- a/exchange/rehearsal/keeper_test.go
+++ b/exchange/rehearsal/keeper_test.go
@@ -161,8 +161,8 @@
 	}
 }
 
-// Given a core whose processes are all killed, when two of them are back and make a view, and the third is back
-// as a view is being made, then tokens are given soon after it has answered in that view: no earlier life of
+// Given a core whose processes are all killed, when two of them are back and make a view, and the third comes
+// as that is being made, then tokens are given soon after it has answered in the view: no earlier life of
 // it can give any.
 func TestNoLeaseIsAwaitedOfWhoHasAnsweredInTheView(t *testing.T) {
 	s := given(t, 1)
