Run the long rehearsals beside each other

Change: the fourteen longest tests run in parallel; each has exchanges of its own, in virtual time. No check is changed.

--- a/exchange/rehearsal/calls_test.go
+++ b/exchange/rehearsal/calls_test.go
@@ -360,6 +360,7 @@
 // Given any history of faults, when messages come late, twice, overtaken and to others, then no promise is
 // broken, and all that was acknowledged is there.
 func TestDrawnNoise(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(12) {
 		if wrong := noisy(seed, false); wrong != "" {
 			t.Errorf("seed %d: %s", seed, wrong)
--- a/exchange/rehearsal/changes_test.go
+++ b/exchange/rehearsal/changes_test.go
@@ -125,6 +125,7 @@
 // disk is old, torn or empty, then it serves with the others within three seconds and the bytes of a few
 // texts and lists of numbers, however many it missed, and was in service with nothing older than the newest.
 func TestAMachineThatWasAwayCatchesUp(t *testing.T) {
+	t.Parallel()
 	const numbers = 512 * 26 // the numbers taken last, with their digests
 	text := len(signal.Encode(nil, signal.Pack([]byte(textOf(100, few)), 0, nil)))
 	for _, c := range []struct {
@@ -151,6 +152,7 @@
 // Given long texts, when a machine comes back with an old one, then its disk is sent what differs, whichever
 // machine it is, and the only whole text is the news for its own line; an empty disk is sent more of them.
 func TestAMachineThatIsBehindIsSentWhatDiffers(t *testing.T) {
+	t.Parallel()
 	whole := len(signal.Encode(nil, signal.Pack([]byte(textOf(15, 2000)), 0, nil)))
 	for _, name := range []string{"z1-1", "z2-1", "z3-1"} {
 		for disk, alter := range disks {
@@ -171,6 +173,7 @@
 // and remembers what the others do; the same where its disk has another entry among them, and where it tells
 // the outline of numbers that it doesn't have, so that what it is sent first doesn't come out.
 func TestNumbersThatDifferAreSent(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"z1-1", "z3-1"} {
 		for what, a := range map[string]absence{
 			"old disk": {},
--- a/exchange/rehearsal/keeper_test.go
+++ b/exchange/rehearsal/keeper_test.go
@@ -122,6 +122,7 @@
 // one has given some in a view, none gives any in an earlier one. Where all say at once that no earlier
 // keeper has a lease, some do.
 func TestTwoNeverKeepTheCounts(t *testing.T) {
+	t.Parallel()
 	found := 0
 	for seed := range uint64(16) {
 		if g := keepers(t, seed, nil); len(g.twice) > 0 {
--- a/exchange/rehearsal/members_domains_test.go
+++ b/exchange/rehearsal/members_domains_test.go
@@ -76,6 +76,7 @@
 // be borne, then all that operators hear is what one register would say, and the core is whole in the end. A
 // program that counts machines alone says too early that it can be borne, and is found.
 func TestDrawnHistoriesOfDomains(t *testing.T) {
+	t.Parallel()
 	params := gopter.DefaultTestParametersWithSeed(17)
 	params.MinSuccessfulTests = 3
 	p := gopter.NewProperties(params)
--- a/exchange/rehearsal/members_test.go
+++ b/exchange/rehearsal/members_test.go
@@ -133,6 +133,7 @@
 // Given a replacement, when at any moment around it all processes of the core are killed, or any one, and
 // start again with their disks, then nothing acknowledged is lost, and the newcomer is a member in the end.
 func TestKillsInTheMiddleOfAReplacement(t *testing.T) {
+	t.Parallel()
 	t.Run("new address", func(t *testing.T) { killsAround(t, false) })
 	t.Run("same address", func(t *testing.T) { killsAround(t, true) })
 }
@@ -186,6 +187,7 @@
 // each at the very moment from which the next loss can be borne, when several operators race meanwhile,
 // then all that they hear is what one register would say, and the core is whole in the end.
 func TestDrawnHistoriesOfMembers(t *testing.T) {
+	t.Parallel()
 	params := gopter.DefaultTestParametersWithSeed(13)
 	params.MinSuccessfulTests = 30
 	p := gopter.NewProperties(params)
@@ -637,6 +639,7 @@
 // Given any first start, when one seed loses its disk at any moment of it, another one is killed and all
 // are cut off from each other, then no two cores are named, and once all is well one serves.
 func TestDrawnFirstStartsWithALostDisk(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(100) {
 		if wrong := lostSeed(seed); wrong != "" {
 			t.Errorf("seed %d: %s", seed, wrong)
--- a/exchange/rehearsal/quorum_test.go
+++ b/exchange/rehearsal/quorum_test.go
@@ -283,6 +283,7 @@
 // go, then it tells nothing older than the bound, neither confirms nor refuses, and passes those on who ask
 // it, within the second that they wait; the others go on, and when it is over all go by the newest.
 func TestTwentySecondsOutOfTouch(t *testing.T) {
+	t.Parallel()
 	for _, tr := range troubles {
 		for _, name := range []string{"z1-1", "z2-1", "z3-1"} {
 			t.Run(tr.name+" "+name, func(t *testing.T) {
@@ -485,6 +486,7 @@
 // any without a disk, and of all at once, when operators go on, then no word is older than the bound, all
 // answers are those of one register, and all go by the newest in the end.
 func TestDrawnTroubles(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(14) {
 		if wrong := words(t, seed); wrong != "" {
 			t.Errorf("seed %d: %s", seed, wrong)
--- a/exchange/rehearsal/register_test.go
+++ b/exchange/rehearsal/register_test.go
@@ -214,6 +214,7 @@
 // texts, send again what had no clear answer, and old orders come once more, then all that they hear is what
 // one register would say, and one text is in force everywhere in the end.
 func TestDrawnRaces(t *testing.T) {
+	t.Parallel()
 	params := gopter.DefaultTestParametersWithSeed(11)
 	params.MinSuccessfulTests = 40
 	p := gopter.NewProperties(params)
--- a/exchange/rehearsal/rehearsal_test.go
+++ b/exchange/rehearsal/rehearsal_test.go
@@ -103,6 +103,7 @@
 // Given any first start, when seeds die, lose their disks and are cut off, then no two cores are named, and
 // once all is well one serves.
 func TestDrawnFirstStarts(t *testing.T) {
+	t.Parallel()
 	params := gopter.DefaultTestParametersWithSeed(7)
 	params.MinSuccessfulTests = 150
 	p := gopter.NewProperties(params)
@@ -335,6 +336,7 @@
 // Given any history of losses that are to be borne, when it is over, then what was acknowledged is there, all
 // machines agree, and no promise was broken on the way.
 func TestDrawnHistories(t *testing.T) {
+	t.Parallel()
 	params := gopter.DefaultTestParametersWithSeed(7)
 	params.MinSuccessfulTests = 12
 	p := gopter.NewProperties(params)
