--- a/internal/controlplane/replica/chain.go
+++ b/internal/controlplane/replica/chain.go
@@ -57,6 +57,17 @@
 	return slices.ContainsFunc(c.proposals, func(p proposal) bool { return p.client == client })
 }
 
+// shared returns the configuration of a proposal that waits with the same version and digest, else the
+// one given: operators send the same one through several nodes, and a long one is not to be kept for
+// each.
+func (c *replication) shared(accepted message.AcceptedVersion, config []byte) []byte {
+	i := slices.IndexFunc(c.proposals, func(p proposal) bool { return p.accepted == accepted })
+	if i < 0 {
+		return config
+	}
+	return c.proposals[i].config
+}
+
 // take removes and returns the proposals for which a condition holds.
 func (c *replication) take(done func(p *proposal) bool) (taken []proposal) {
 	c.proposals = slices.DeleteFunc(c.proposals, func(p proposal) bool {
@@ -108,9 +119,9 @@
 	if err != nil {
 		return // the client sends it again
 	}
-	r.replication.proposals = append(r.replication.proposals, proposal{client: client, config: config,
-		receivedAt: r.now, accepted: message.AcceptedVersion{Version: put.Version,
-			Digest: message.DigestOf(config)}})
+	accepted := message.AcceptedVersion{Version: put.Version, Digest: message.DigestOf(config)}
+	r.replication.proposals = append(r.replication.proposals, proposal{client: client, accepted: accepted,
+		config: r.replication.shared(accepted, config), receivedAt: r.now})
 	r.proposeNext()
 }
 
--- a/internal/controlplane/replica/snapshot.go
+++ b/internal/controlplane/replica/snapshot.go
@@ -1,7 +1,9 @@
 package replica
 
 import (
+	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -16,7 +18,11 @@
 	// bytes of all responses on their way: it is shared by those who ask for chunks
 	totalChunkBudget  = 16 << 20
 	snapshotRetention = 3 * time.Second // after it was last asked for
-	readerRetention   = time.Second     // for which who asked for a chunk counts as asking
+	// maxSnapshotBytes bounds what is kept encoded of all snapshots. It holds one of the longest
+	// configuration and list there may be; with many changes of a long configuration the least recently
+	// used go first, and a transfer of one that is gone goes on as soon as it is made again.
+	maxSnapshotBytes = message.MaxFrameSize
+	readerRetention  = time.Second // for which who asked for a chunk counts as asking
 )
 
 // snapshotKey names what a snapshot was made of: an endpoint list by epoch and sequence, a configuration by
@@ -26,6 +32,11 @@
 	version  [2]uint64
 }
 
+// before is an agreed order of keys, so that a simulation repeats by its seed.
+func (k snapshotKey) before(other snapshotKey) bool {
+	return cmp.Or(cmp.Compare(k.resource, other.resource), slices.Compare(k.version[:], other.version[:])) < 0
+}
+
 func endpointsKey(l *message.EndpointList) snapshotKey {
 	return snapshotKey{message.ResourceEndpoints, [2]uint64{l.Epoch, l.Sequence}}
 }
@@ -62,6 +73,7 @@
 // snapshotCache is the snapshots that are being told, and to whom.
 type snapshotCache struct {
 	byKey   map[snapshotKey]*snapshot
+	bytes   int                      // of all of them, encoded
 	readers map[string]time.Duration // when somebody last asked for a chunk
 }
 
@@ -77,14 +89,40 @@
 		s.data = message.MarshalAppend(nil, s.resource)
 		s.checksum = message.Checksum(s.data)
 		c.byKey[key] = s
+		c.bytes += len(s.data)
 	}
 	s.lastUsed = now
+	c.evict(s)
 	return s
 }
 
+// evict drops the snapshots that were used least recently, but for the one in use, until the rest is
+// within the bound.
+func (c *snapshotCache) evict(inUse *snapshot) {
+	for c.bytes > maxSnapshotBytes && len(c.byKey) > 1 {
+		var oldest snapshotKey
+		at := time.Duration(math.MaxInt64)
+		for key, s := range c.byKey {
+			if s != inUse && (s.lastUsed < at || s.lastUsed == at && key.before(oldest)) {
+				oldest, at = key, s.lastUsed
+			}
+		}
+		c.remove(oldest)
+	}
+}
+
+func (c *snapshotCache) remove(key snapshotKey) {
+	c.bytes -= len(c.byKey[key].data)
+	delete(c.byKey, key)
+}
+
 // expire drops what nobody asks for any more.
 func (c *snapshotCache) expire(now time.Duration) {
-	maps.DeleteFunc(c.byKey, func(_ snapshotKey, s *snapshot) bool { return now > s.lastUsed+snapshotRetention })
+	for key, s := range c.byKey {
+		if now > s.lastUsed+snapshotRetention {
+			c.remove(key)
+		}
+	}
 	maps.DeleteFunc(c.readers, func(_ string, at time.Duration) bool { return now > at+readerRetention })
 }
 
--- a/internal/controlplane/transport/transport.go
+++ b/internal/controlplane/transport/transport.go
@@ -24,13 +24,11 @@
 	dialTimeout = 400 * time.Millisecond
 	// writeTimeout is for a peer that has what was sent and does not say so: the connection is dead.
 	writeTimeout          = 1000 * time.Millisecond
-	redialDelay           = 100 * time.Millisecond   // to a peer that could not be reached
-	maxQueuedBytes        = 2 * message.MaxFrameSize // that wait for a connection
-	maxWriteSize          = 64 << 10                 // bytes at once: a link that bears 64 kB/s is not dead
+	redialDelay           = 100 * time.Millisecond // to a peer that could not be reached
+	maxWriteSize          = 64 << 10               // bytes at once: a link that bears 64 kB/s is not dead
 	maxInboundConnections = 512
 	idleTimeout           = 15 * time.Second // after which a connection with nothing to say is closed
 	readBufferSize        = 4 << 10
-	maxSpareQueue         = 16 << 10 // bytes of a queue that are kept for the next
 )
 
 // Options are what New needs.
@@ -57,7 +55,7 @@
 // peer is another process, and what waits to be sent to it. The transport's lock guards it.
 type peer struct {
 	addr        string
-	queue       []byte
+	queue       sendQueue
 	conn        net.Conn // to write to; nil: none is open
 	incarnation uint64   // of the process at its other end; 0: not told yet
 	writing     bool
@@ -187,11 +185,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peer(to)
-	if len(p.queue) > maxQueuedBytes || p.conn == nil && time.Since(p.lastFailure) < redialDelay {
+	if p.conn == nil && time.Since(p.lastFailure) < redialDelay {
 		return
 	}
-	p.queue = message.AppendFrame(p.queue, m)
-	if !p.writing {
+	if p.queue.push(m) && !p.writing {
 		p.writing = true
 		go t.write(p)
 	}
@@ -201,8 +198,7 @@
 func (t *Transport) write(p *peer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var spare []byte
-	for len(p.queue) > 0 {
+	for !p.queue.empty() {
 		conn := p.conn
 		if conn == nil {
 			conn = t.dialPeer(p)
@@ -210,14 +206,11 @@
 				continue
 			}
 		}
-		queued := p.queue
-		p.queue = spare[:0]
+		frames := p.queue.pop()
 		t.mu.Unlock()
-		err := writeAll(conn, queued)
+		err := writeAll(conn, frames)
 		t.mu.Lock()
-		if spare = queued; cap(spare) > maxSpareQueue {
-			spare = nil
-		}
+		p.queue.recycle(frames)
 		if err != nil {
 			closeQuietly(conn)
 			if p.conn == conn {
@@ -225,7 +218,7 @@
 			}
 		}
 	}
-	p.queue = nil
+	p.queue.clear()
 	p.writing = false
 }
 
@@ -237,7 +230,8 @@
 	t.mu.Lock()
 	if err != nil {
 		if p.conn == nil {
-			p.lastFailure, p.queue = time.Now(), nil
+			p.lastFailure = time.Now()
+			p.queue.clear()
 		}
 		return nil
 	}
@@ -262,18 +256,18 @@
 	return conn, nil
 }
 
-// writeAll writes a queue. A connection is dead if it takes nothing for long, and not if it takes much
+// writeAll writes frames. A connection is dead if it takes nothing for long, and not if it takes much
 // slowly: the limit is on each piece.
-func writeAll(conn net.Conn, queued []byte) error {
-	for len(queued) > 0 {
-		piece := queued[:min(len(queued), maxWriteSize)]
+func writeAll(conn net.Conn, frames []byte) error {
+	for len(frames) > 0 {
+		piece := frames[:min(len(frames), maxWriteSize)]
 		if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return err
 		}
 		if _, err := conn.Write(piece); err != nil {
 			return err
 		}
-		queued = queued[len(piece):]
+		frames = frames[len(piece):]
 	}
 	return nil
 }
