Miss a killed process at once, and wait only for allocator leases that were given

Cause: a killed head was missed after 0.65 s of silence, and back after 1.06 s; a machine that watched it asked another one up to 1.25 s later; calls sent to it waited for their next turn. A cut that goes one way left no allocator for 0.78 s, or 1.02 s for one that hears nobody, since every replica that was left out was taken for a holder of a lease. Change: a connection that ends has a member send a heartbeat at once; an address that refuses the new connection has no process (event 34): the others do without it after 20 ms, and whoever watches it turns away. A reset finds the process alive. A process that was restarted is taken back after 0.15 s, unless it was within 5 s before. Calls follow a new view. Refusal proves nothing to leases: a firewall may refuse in its place. But a replica notes to whom, and until when, it may have given one as it leaves a view, an allocator that hears no quorum says that it gives the role up (heartbeat field 55), and another process on the holder's disk ends its lease.

--- a/internal/controlplane/client/calls.go
+++ b/internal/controlplane/client/calls.go
@@ -46,6 +46,7 @@
 	request   message.Message
 	startedAt time.Duration
 	sentAt    time.Duration
+	sentTo    string
 	attempts  int
 	done      func(response message.Body) // nil: there was none in time
 }
@@ -130,19 +131,35 @@
 func (c *Client) sendCall(call *pendingCall) {
 	call.sentAt = c.now
 	call.attempts++
-	to := ""
+	call.sentTo = ""
 	switch {
 	case len(c.chain) > 0 && call.attempts%3 != 0:
-		to = c.chain[0]
-		if call.request.Type() == message.TypeRead {
-			to = c.chain[len(c.chain)-1]
-		}
+		call.sentTo = c.callTarget(call)
 	case len(c.members.list) > 0:
-		to = c.members.list[call.attempts%len(c.members.list)].Addr
+		call.sentTo = c.members.list[call.attempts%len(c.members.list)].Addr
 	}
-	if to != "" {
+	if call.sentTo != "" {
 		request := call.request
-		c.options.Actions.Send(to, &request)
+		c.options.Actions.Send(call.sentTo, &request)
+	}
+}
+
+// callTarget is the replica that answers a call in the view that is known.
+func (c *Client) callTarget(call *pendingCall) string {
+	if call.request.Type() == message.TypeRead {
+		return c.chain[len(c.chain)-1]
+	}
+	return c.chain[0]
+}
+
+// redirectCalls sends the calls on that another replica answers in a new view.
+func (c *Client) redirectCalls() {
+	for _, id := range sortedKeys(c.calls.pending) {
+		call := c.calls.pending[id]
+		if len(c.chain) > 0 && call.sentTo != c.callTarget(call) {
+			call.attempts = 0
+			c.sendCall(call)
+		}
 	}
 }
 
@@ -169,6 +186,5 @@
 	call := c.calls.pending[requestID]
 	if call != nil && reject.Epoch > c.epoch && len(reject.Chain) > 0 {
 		c.setView(reject.Epoch, reject.Chain)
-		c.sendCall(call)
 	}
 }
--- a/internal/controlplane/client/client.go
+++ b/internal/controlplane/client/client.go
@@ -313,6 +313,25 @@
 func (c *Client) setView(epoch uint64, chain []string) {
 	c.epoch, c.chain = epoch, chain
 	c.options.Actions.SetView(epoch, chain)
+	c.redirectCalls()
+}
+
+// HandleDisconnected tells that a connection to a process has ended, by its end or a reset. What was
+// asked of the replica that is watched may be lost, and is asked again: at once where that lives.
+func (c *Client) HandleDisconnected(now time.Duration, addr string) {
+	c.now = now
+	if addr == c.server && c.state == StateConnected && c.nextRequest == 0 {
+		c.sendWatch()
+	}
+}
+
+// HandleRefused tells that an address has refused a connection: no process listens there. Another replica is
+// watched, after a pause, since it may be that none listens.
+func (c *Client) HandleRefused(now time.Duration, addr string) {
+	c.now = now
+	if addr == c.server && c.state != StateDiscovering && c.nextRequest == 0 {
+		c.failOver(retryDelay)
+	}
 }
 
 // membership is what a Client knows of the members of the core.
--- a/internal/controlplane/message/heartbeat.go
+++ b/internal/controlplane/message/heartbeat.go
@@ -22,6 +22,9 @@
 	UnreachableMembers []string `pb:"50"` // that the sender does not hear
 	// OldLeasesExpired says that no replica outside the chain can hold a lease of the sender.
 	OldLeasesExpired bool `pb:"51"`
+	// ReleasedEpoch is the epoch of the last view in which the sender has given up the role of the rate-limit
+	// allocator: it grants nothing under that, nor under an earlier one, any more. 0: none.
+	ReleasedEpoch uint64 `pb:"55"`
 }
 
 // Type is TypeHeartbeat.
--- a/internal/controlplane/node/node.go
+++ b/internal/controlplane/node/node.go
@@ -194,6 +194,24 @@
 	}
 }
 
+// HandleDisconnected tells that a connection to a process has ended, by its end or a reset.
+func (n *Node) HandleDisconnected(now time.Duration, addr string) {
+	n.now = now
+	n.client.HandleDisconnected(now, addr)
+	if n.replica != nil {
+		n.replica.HandleDisconnected(now, addr)
+	}
+}
+
+// HandleRefused tells that the address of a process has refused a connection.
+func (n *Node) HandleRefused(now time.Duration, addr string) {
+	n.now = now
+	n.client.HandleRefused(now, addr)
+	if n.replica != nil {
+		n.replica.HandleRefused(now, addr)
+	}
+}
+
 // handleAnnounce tells a process that starts what this one knows of the core.
 func (n *Node) handleAnnounce(from string, m *message.Message, announce *message.Announce) {
 	if n.bootstrapper != nil {
--- a/internal/controlplane/replica/failure_detector.go
+++ b/internal/controlplane/replica/failure_detector.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dunespoke/internal/controlplane/message"
+	"dunespoke/internal/events"
 )
 
 // Times of heartbeats.
@@ -13,6 +14,8 @@
 	// of them one tells of nodes: leases last for four of those
 	heartbeatsPerLeaseReport = 5
 	failureTimeout           = 650 * time.Millisecond // some lost packets and a slow turn are no failure
+	// Sequence numbers of heartbeats have their incarnation above so many bits.
+	heartbeatsPerIncarnationBits = 20
 	// unresponsiveTimeout is for a replica that is heard and doesn't answer: within sync_s.
 	unresponsiveTimeout = 2 * time.Second
 )
@@ -41,8 +44,7 @@
 
 func newHeartbeatHistory(incarnation uint64) heartbeatHistory {
 	const incarnations = 1 << 28
-	const perIncarnation = 20 // bits
-	return heartbeatHistory{last: incarnation % incarnations << perIncarnation}
+	return heartbeatHistory{last: incarnation % incarnations << heartbeatsPerIncarnationBits}
 }
 
 // record counts a heartbeat that is sent now, and returns its sequence number.
@@ -65,7 +67,9 @@
 type peerState struct {
 	// Whether it is alive, for the failure detector.
 	lastHeard   time.Duration // the last heartbeat that was not held up
-	aliveSince  time.Duration // the first of the unbroken row
+	down        bool          // its address has refused a connection since: no process listens there
+	joinableAt  time.Duration // when it has been heard without a break for long enough to join a chain
+	restartedAt time.Duration // when its process was last found to be another one
 	lastHealthy time.Duration // the last one of a replica that could be counted on
 	unhealthy   bool
 	unreachable []string // members that it does not hear
@@ -89,14 +93,15 @@
 	endpointsSequence  uint64
 	leaseSentAt        time.Duration // when this replica sent the heartbeat that the peer's last one echoes
 	sawUsInEpoch       uint64        // of the view in which it has heard this replica
+	releasedEpoch      uint64        // of the last view in which it has given up the allocator's role
 	oldLeasesExpiredIn uint64        // epoch under which it said that none outside the chain holds a lease of it
 }
 
 // heard reports whether a peer is heard.
-func (p *peerState) heard(now time.Duration) bool { return now < p.lastHeard+failureTimeout }
+func (p *peerState) heard(now time.Duration) bool { return !p.down && now < p.lastHeard+failureTimeout }
 
 // silent reports whether a peer has fallen silent.
-func (p *peerState) silent(now time.Duration) bool { return now > p.lastHeard+failureTimeout }
+func (p *peerState) silent(now time.Duration) bool { return p.down || now > p.lastHeard+failureTimeout }
 
 // recordContact notes what a heartbeat tells of its sender's view. One that was sent before another changes
 // nothing.
@@ -106,19 +111,44 @@
 	}
 }
 
+// received notes that a heartbeat came, held up or not, and whether another process sent it than the one
+// before.
+func (p *peerState) received(now time.Duration, h *message.Heartbeat) (restarted bool) {
+	known, before := p.lastSequence != 0, p.incarnation()
+	p.lastSequence, p.lastHeartbeatAt = h.Sequence, now
+	return known && p.incarnation() != before
+}
+
+// incarnation tells one process of the peer from another, by the last heartbeat that came.
+func (p *peerState) incarnation() uint64 { return p.lastSequence >> heartbeatsPerIncarnationBits }
+
 // update takes what a heartbeat tells of its sender now.
-func (p *peerState) update(now time.Duration, h *message.Heartbeat) {
-	if p.silent(now) {
-		p.aliveSince = now
+func (p *peerState) update(now time.Duration, h *message.Heartbeat, restarted bool) {
+	if p.silent(now) || restarted {
+		p.joinableAt = now + p.rejoinDelay(now, restarted)
+	}
+	if restarted {
+		p.restartedAt = now
 	}
 	if !h.Unhealthy {
 		p.lastHealthy = now
 	}
+	p.down = false
 	p.lastHeard, p.caughtUp, p.unhealthy = now, h.CaughtUp, h.Unhealthy
 	p.storeID, p.unreachable = h.StoreID, h.UnreachableMembers
 	p.draining, p.joint, p.membershipEpoch = h.Draining, h.Joint, h.MembershipEpoch
 }
 
+// rejoinDelay is for how long a peer that came back must be heard before it joins a chain. A link that
+// flaps would have it come and go; a process that was restarted has a reason to have been away, unless
+// that happens again and again.
+func (p *peerState) rejoinDelay(now time.Duration, restarted bool) time.Duration {
+	if restarted && (p.restartedAt == 0 || now >= p.restartedAt+restartLoopWindow) {
+		return restartRejoinDelay
+	}
+	return flapRejoinDelay
+}
+
 // failureDetector knows which peers are alive, by their heartbeats.
 type failureDetector struct {
 	self          string
@@ -149,7 +179,7 @@
 func (d *failureDetector) peer(now time.Duration, addr string) *peerState {
 	p := d.byAddr[addr]
 	if p == nil {
-		p = &peerState{aliveSince: now, lastHealthy: now}
+		p = &peerState{joinableAt: now + flapRejoinDelay, lastHealthy: now}
 		d.byAddr[addr] = p
 	}
 	return p
@@ -230,14 +260,27 @@
 
 // sendHeartbeats tells the other members how this replica is.
 func (r *Replica) sendHeartbeats() {
+	h := r.heartbeat()
+	for _, m := range r.store.saved.allMembers() {
+		if m.Addr != r.self {
+			r.send(m.Addr, r.peers.echo(r.now, m.Addr, h))
+		}
+	}
+}
+
+// heartbeat returns the next heartbeat, without an echo.
+func (r *Replica) heartbeat() message.Heartbeat {
 	saved := &r.store.saved
-	members := saved.allMembers()
+	alone := !r.hearsQuorum()
+	if alone {
+		r.releaseAllocatorRole()
+	}
 	h := message.Heartbeat{
 		CaughtUp:  saved.CaughtUp && r.store.pending.CaughtUp,
-		Unhealthy: r.DiskUnhealthy() || !r.hearsQuorum(),
-		StoreID:   saved.StoreID, MembershipEpoch: saved.MembershipEpoch, Joint: len(saved.OutgoingMembers) > 0,
+		Unhealthy: r.DiskUnhealthy() || alone, ReleasedEpoch: r.allocator.releasedEpoch,
+		StoreID: saved.StoreID, MembershipEpoch: saved.MembershipEpoch, Joint: len(saved.OutgoingMembers) > 0,
 		Draining:           r.draining,
-		UnreachableMembers: r.peers.unreachable(r.now, members),
+		UnreachableMembers: r.peers.unreachable(r.now, saved.allMembers()),
 		Sequence:           r.peers.sent.record(r.now),
 		Endpoints:          r.endpoints.version(),
 	}
@@ -248,11 +291,31 @@
 		h.Epoch, h.Version = r.epoch, r.committed
 		h.OldLeasesExpired = r.noteHeartbeatInView(h.Sequence)
 	}
-	for _, m := range members {
-		if m.Addr != r.self {
-			r.send(m.Addr, r.peers.echo(r.now, m.Addr, h))
-		}
+	return h
+}
+
+// HandleDisconnected tells that a connection to a process has ended, by its end or a reset. A member is
+// sent a heartbeat at once: by a new connection if it lives, and if its process is gone, the address
+// refuses that.
+func (r *Replica) HandleDisconnected(now time.Duration, addr string) {
+	r.now = now
+	if r.isMemberAddress(addr) && r.peers.byAddr[addr] != nil {
+		r.send(addr, r.peers.echo(now, addr, r.heartbeat()))
+	}
+}
+
+// HandleRefused tells that an address has refused a connection: no process listens there. That is no more
+// than a reason to do without the peer, until it is heard again: where a firewall refuses in its place,
+// it lives, and what was promised to it holds on.
+func (r *Replica) HandleRefused(now time.Duration, addr string) {
+	r.now = now
+	p := r.peers.byAddr[addr]
+	if p == nil || p.down || !r.isMemberAddress(addr) {
+		return
 	}
+	p.down = true
+	r.log(events.PeerRefused, "peer", addr)
+	r.evaluateView()
 }
 
 // handleHeartbeat takes a heartbeat, and what each concern reads of it.
@@ -262,7 +325,7 @@
 	}
 	p := r.peers.peer(r.now, from)
 	heardQuorum := r.hearsQuorum()
-	p.lastSequence, p.lastHeartbeatAt = h.Sequence, r.now
+	restarted := p.received(r.now, h)
 	sentAt, known := r.peers.sentTime(r.now, h)
 	if p.storeID != h.StoreID { // what was heard is of another store
 		p.contactAt = 0
@@ -270,7 +333,7 @@
 	p.recordContact(h.Epoch, sentAt)
 	delayed := known && r.now >= sentAt+failureTimeout // it tells how the peer was, not how it is
 	if !delayed {
-		p.update(r.now, h)
+		p.update(r.now, h, restarted)
 	}
 	if !heardQuorum && r.hearsQuorum() {
 		r.sendHeartbeats() // who waits for this replica need not wait for its next heartbeat
@@ -294,6 +357,7 @@
 	case h.Epoch > r.epoch && r.state == StateServing: // this replica was left out: what it knows may be old
 		r.epoch, r.chain = h.Epoch, nil
 		r.transition(StateStandby)
+		r.sendHeartbeats() // who waits for its lease to end need not wait for the next one
 	case h.Epoch == r.epoch && r.state == StateServing:
 		r.handleCommitted(&message.Committed{Epoch: h.Epoch, Version: h.Version})
 	}
--- a/internal/controlplane/replica/replica.go
+++ b/internal/controlplane/replica/replica.go
@@ -127,6 +127,9 @@
 	if to != r.state {
 		r.log(events.ReplicaState, "from", r.state.String(), "to", to.String(), "epoch", r.epoch)
 	}
+	if r.state == StateServing && to != StateServing {
+		r.leaveAllocatorView()
+	}
 	r.state, r.stateSince = to, r.now
 	if to != StateProposing && to != StateInstalling {
 		r.view.change = nil
--- a/internal/controlplane/replica/view_change.go
+++ b/internal/controlplane/replica/view_change.go
@@ -433,7 +433,7 @@
 		return
 	}
 	r.epoch, r.chain = m.Epoch, m.Chain
-	r.allocator = allocatorLease{participants: slices.Concat(m.Chain, m.LeavingMembers)}
+	r.enterAllocatorView(m.Epoch, m.Chain, m.LeavingMembers)
 	if !slices.Contains(r.chain, r.self) { // its own proposal, without itself: nothing comes to its disk there
 		r.transition(StateStandby)
 		return
--- a/internal/controlplane/replica/view_selection.go
+++ b/internal/controlplane/replica/view_selection.go
@@ -10,8 +10,12 @@
 // Times of choosing a view.
 const (
 	viewChangeDelay = 200 * time.Millisecond // another view must be desired for so long
-	rejoinDelay     = 800 * time.Millisecond // and a replica that came back be heard so long: flapping links
-	servingTimeout  = 450 * time.Millisecond // for a replica of the chain to serve in its view
+	// knownFailureDelay is the same where each replica that the other view does without is known to be down.
+	knownFailureDelay  = 20 * time.Millisecond
+	flapRejoinDelay    = 800 * time.Millisecond // a replica that came back must be heard so long: flapping links
+	restartRejoinDelay = 150 * time.Millisecond // where its process was restarted
+	restartLoopWindow  = 5 * time.Second        // unless it was restarted within this before, too
+	servingTimeout     = 450 * time.Millisecond // for a replica of the chain to serve in its view
 )
 
 // evaluateView looks whether another view is desired, and proposes it if this replica is the one to do so.
@@ -41,7 +45,7 @@
 		r.startViewChange(desired, nil)
 		return
 	}
-	delay := r.viewChangeDelay()
+	delay := r.viewChangeDelay(desired)
 	if r.now >= r.view.desiredSince+delay && r.now >= r.stateSince+delay {
 		r.startViewChange(desired, nil)
 	}
@@ -49,17 +53,34 @@
 
 // viewChangeDelay is how long another view must be desired. A replica that doesn't serve has nothing to lose
 // by a wrong one.
-func (r *Replica) viewChangeDelay() time.Duration {
-	if r.state == StateServing {
+func (r *Replica) viewChangeDelay(desired []string) time.Duration {
+	switch {
+	case r.lacksOnlyDownPeers(desired):
+		return knownFailureDelay
+	case r.state == StateServing:
 		return viewChangeDelay
 	}
 	return viewChangeDelay / 2
 }
 
-// isChainHealthy reports whether all others of the chain serve in this view, or may yet do so in a moment:
-// not one that has lost its disk, nor one that has promised another epoch to who is gone.
+// lacksOnlyDownPeers reports whether a chain differs from the present one by lacking replicas that are
+// down, and by nothing else.
+func (r *Replica) lacksOnlyDownPeers(chain []string) bool {
+	if len(chain) >= len(r.chain) {
+		return false
+	}
+	up := slices.DeleteFunc(slices.Clone(r.chain), func(addr string) bool {
+		p := r.peers.byAddr[addr]
+		return addr != r.self && p != nil && p.down
+	})
+	return slices.Equal(up, chain)
+}
+
+// isChainHealthy reports whether all others of the chain serve in this view, or may yet do so in a
+// moment: not one that has lost its disk, nor one that has promised another epoch to who is gone. Nor is
+// it healthy if the rate-limit allocator has given up its role.
 func (r *Replica) isChainHealthy() bool {
-	return !slices.ContainsFunc(r.chain, func(addr string) bool {
+	return !r.allocatorReleased() && !slices.ContainsFunc(r.chain, func(addr string) bool {
 		if addr == r.self {
 			return false
 		}
@@ -126,5 +147,5 @@
 	if !withUnresponsive && r.now < p.unresponsiveUntil {
 		return false
 	}
-	return r.state != StateServing || slices.Contains(r.chain, addr) || r.now >= p.aliveSince+rejoinDelay
+	return r.state != StateServing || slices.Contains(r.chain, addr) || r.now >= p.joinableAt
 }
--- /dev/null
+++ b/internal/controlplane/simulation/halves_test.go
@@ -0,0 +1,154 @@
+package simulation
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dunespoke/internal/controlplane/message"
+)
+
+// recoveryTime is within what a core serves again after all of it is back; the users allow recovery_s, 15 s.
+const recoveryTime = 6 * time.Second
+
+// partition is how a core is cut into two halves, and what follows as that ends.
+type partition struct {
+	name  string
+	cut   func(s *scenario, half, rest []*Machine)
+	after func(s *scenario, half, rest []*Machine, rng *rand.Rand)
+}
+
+var partitions = []partition{
+	{"both ways", cutBothWays, nothingFollows},
+	{"one way", func(s *scenario, half, rest []*Machine) {
+		forEachPair(half, rest, func(a, b *Machine) { s.CutOneWay(a, b, true) })
+	}, nothingFollows},
+	{"the others are killed as it has healed", cutBothWays,
+		func(_ *scenario, _, rest []*Machine, _ *rand.Rand) { endAll(rest, (*Machine).Kill) }},
+	{"both are restarted, one half after the other", cutBothWays,
+		func(s *scenario, half, rest []*Machine, rng *rand.Rand) {
+			endAll(half, (*Machine).Kill)
+			s.Run(time.Duration(rng.IntN(300)) * time.Millisecond)
+			startAll(half)
+			endAll(rest, (*Machine).Kill)
+		}},
+	{"all lose power as it has healed, those without a disk too", cutBothWays,
+		func(s *scenario, _, _ []*Machine, _ *rand.Rand) { endAll(s.Machines, (*Machine).PowerOff) }},
+	{"a disk is lost meanwhile", func(s *scenario, half, rest []*Machine) {
+		cutBothWays(s, half, rest)
+		half[0].PowerOff()
+		half[0].WipeDisk()
+	}, nothingFollows},
+}
+
+func cutBothWays(s *scenario, half, rest []*Machine) {
+	forEachPair(half, rest, func(a, b *Machine) { s.Cut(a, b, true) })
+}
+
+func nothingFollows(*scenario, []*Machine, []*Machine, *rand.Rand) {}
+
+func forEachPair(list, others []*Machine, do func(a, b *Machine)) {
+	for _, a := range list {
+		for _, b := range others {
+			do(a, b)
+		}
+	}
+}
+
+func endAll(list []*Machine, end func(*Machine)) {
+	for _, m := range list {
+		end(m)
+	}
+}
+
+func startAll(list []*Machine) {
+	for _, m := range list {
+		m.Start()
+	}
+}
+
+// halved plays a core that is cut into two halves for some seconds, again and again, while operators,
+// other machines and those who ask for tokens reach both, and returns what went wrong.
+func halved(t *testing.T, how partition, seed uint64) string {
+	survive := 1 + int(seed%2)
+	s := &scenario{New(Options{Zones: 3, ReplicasPerZone: survive, GatewaysPerZone: 1, SurviveMachines: survive,
+		Seed: seed}), t, 0}
+	rng := rand.New(rand.NewPCG(seed, 33))
+	tokens, staleness := s.watchAll()
+	s.StartAll()
+	disks := s.Replicas()
+	if !s.Until(func() bool { return len(s.Chain()) == len(disks) }, 8*time.Second) {
+		return "no first start"
+	}
+	for range 3 {
+		rng.Shuffle(len(disks), func(i, j int) { disks[i], disks[j] = disks[j], disks[i] })
+		half, rest := disks[:len(disks)/2], disks[len(disks)/2:]
+		how.cut(s, half, rest)
+		s.operate(staleness, rng, 1+rng.IntN(5))
+		s.HealAll()
+		how.after(s, half, rest, rng)
+		s.Run(time.Duration(rng.IntN(600)) * time.Millisecond)
+		startAll(s.Machines)
+		began := s.Now
+		if !s.Until(func() bool { return len(s.Chain()) == len(disks) }, recoveryTime) {
+			return fmt.Sprintf("%v after all are back the chain is %v", s.Now-began, s.Chain())
+		}
+		s.change(s.Machines[rng.IntN(len(s.Machines))])
+		if !s.Until(s.Tolerant, recoveryTime) { // the next cut takes a disk only from a core that can lose one
+			return "no end of the repair"
+		}
+	}
+	s.Run(4 * time.Second)
+	switch {
+	case len(tokens.twice) > 0:
+		return tokens.twice[0]
+	case len(staleness.violations) > 0:
+		return staleness.violations[0]
+	case !s.Converged(s.version):
+		return "not all go by the newest"
+	}
+	return s.consistent()
+}
+
+// watchAll has every word of every machine checked, and every machine with a disk asked for tokens.
+func (s *scenario) watchAll() (*allocatorProbe, *stalenessChecker) {
+	tokens := s.asking()
+	observeTokens := s.Observe
+	staleness := checkStaleness(s.Cluster)
+	observeStaleness := s.Observe
+	s.Observe = func(from *Machine, to string, m *message.Message) {
+		observeTokens(from, to, m)
+		observeStaleness(from, to, m)
+	}
+	return tokens, staleness
+}
+
+// operate has operators send changes, some of them under one version, and read, anywhere, while the
+// platform's list changes.
+func (s *scenario) operate(staleness *stalenessChecker, rng *rand.Rand, rounds int) {
+	for range rounds {
+		staleness.change()
+		s.version += 1 + rng.Uint64N(2)
+		for i := range 2 {
+			s.Put(s.Machines[rng.IntN(len(s.Machines))], s.version, fmt.Sprint("text-", i))
+			s.Read(s.Machines[rng.IntN(len(s.Machines))])
+		}
+		s.Run(time.Duration(200+rng.IntN(1000)) * time.Millisecond)
+	}
+}
+
+// Given a core that is cut into two halves for some seconds, whatever may be lost at once, when operators
+// go on at both, and the halves are restarted, killed or lose power in turn as it heals, then nothing
+// that was acknowledged is lost, nothing older is told than the bound allows, no two allocators grant,
+// and the whole core serves soon after all are back.
+func TestACoreInTwoHalves(t *testing.T) {
+	t.Parallel()
+	for _, how := range partitions {
+		for seed := range uint64(6) {
+			if wrong := halved(t, how, seed); wrong != "" {
+				t.Errorf("%s, seed %d: %s", how.name, seed, wrong)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/controlplane/simulation/killed_head_test.go
@@ -0,0 +1,94 @@
+package simulation
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// What is wanted after the process of the head was killed.
+const (
+	medianToAcknowledge = 500 * time.Millisecond
+	mostToAcknowledge   = 1500 * time.Millisecond // of 99 in 100
+	mostToRejoin        = time.Second             // from the process's start until all of the chain serve
+)
+
+// Given a core that serves, when the process of the head is killed at any moment and a change is sent
+// through any machine, then it is acknowledged soon: the address of the head refuses connections, which
+// tells at once that no process listens there. The head is in the chain again soon after its start.
+func TestAKilledHeadIsMissedAtOnce(t *testing.T) {
+	t.Parallel()
+	var acknowledged, rejoined []time.Duration
+	for seed := range uint64(60) {
+		survive := 1 + int(seed%2)
+		s := &scenario{New(Options{Zones: 3, ReplicasPerZone: survive, GatewaysPerZone: 4, SurviveMachines: survive,
+			Seed: seed}), t, 0}
+		rng := rand.New(rand.NewPCG(seed, 3))
+		s.StartAll()
+		s.then("the chain serves", 8*time.Second, func() bool { return len(s.Chain()) == len(s.Replicas()) })
+		s.change(s.Machines[0])
+		s.Run(time.Duration(rng.IntN(2000)) * time.Millisecond)
+		head := s.At(s.Chain()[0])
+		head.Kill()
+		const startsAgain = 300 * time.Millisecond
+		s.schedule(startsAgain, head.Start)
+		began := s.Now
+		acknowledged = append(acknowledged, s.change(s.Machines[rng.IntN(len(s.Machines))]))
+		s.then("it is back", 5*time.Second, func() bool { return len(s.Chain()) == len(s.Replicas()) })
+		rejoined = append(rejoined, s.Now-began-startsAgain)
+	}
+	slices.Sort(acknowledged)
+	slices.Sort(rejoined)
+	median, longest := acknowledged[len(acknowledged)/2], acknowledged[len(acknowledged)-1]
+	if median > medianToAcknowledge || longest > mostToAcknowledge {
+		t.Errorf("acknowledged after %v, median; %v at the most", median, longest)
+	}
+	if back := rejoined[len(rejoined)-1]; back > mostToRejoin {
+		t.Errorf("back in the chain up to %v after its start", back)
+	}
+	t.Logf("acknowledged after %v (median) to %v; back %v (median) to %v after the start", median, longest,
+		rejoined[len(rejoined)/2], rejoined[len(rejoined)-1])
+}
+
+// Given a process that is killed again and again, when it comes back each time, then it is taken into the
+// chain at once only the first time: one that can't stay up changes the view no oftener than a link that
+// flaps.
+func TestAProcessThatIsKilledAgainAndAgainWaits(t *testing.T) {
+	s := given(t, 1)
+	m := s.Machine("z2-1")
+	waits := make([]time.Duration, 3)
+	for i := range waits {
+		m.Kill()
+		s.Run(200 * time.Millisecond)
+		m.Start()
+		began := s.Now
+		s.then("it is back", 4*time.Second, func() bool { return len(s.Chain()) == 3 })
+		waits[i] = s.Now - began
+	}
+	if waits[0] > mostToRejoin || waits[1] < 700*time.Millisecond || waits[2] < 700*time.Millisecond {
+		t.Errorf("back after %v", waits)
+	}
+}
+
+// Given a member behind a firewall that refuses what is sent to it, whose process lives on, then the
+// others do without it, nothing older is told by it, and it is back once it is reached again.
+func TestARefusalIsNoProofOfDeath(t *testing.T) {
+	for _, name := range []string{"z1-1", "z2-1", "z3-1"} {
+		s := given(t, 1)
+		tokens, staleness := s.watchAll()
+		m := s.Machine(name)
+		s.Run(time.Second)
+		s.Refuse(m, true)
+		s.operate(staleness, rand.New(rand.NewPCG(1, 1)), 4)
+		s.Refuse(m, false)
+		s.then("all are in the chain", 4*time.Second, func() bool { return len(s.Chain()) == 3 })
+		s.change(s.Machine("z3-2"))
+		if len(tokens.twice) > 0 || len(staleness.violations) > 0 {
+			t.Errorf("%s: %v %v", name, tokens.twice, staleness.violations)
+		}
+		if wrong := s.consistent(); wrong != "" {
+			t.Errorf("%s: %s", name, wrong)
+		}
+	}
+}
--- a/internal/controlplane/simulation/machine.go
+++ b/internal/controlplane/simulation/machine.go
@@ -16,6 +16,7 @@
 	node    message.Node
 	hasDisk bool
 	removed bool // for good
+	dark    bool // its process ended by a loss of power: nothing tells the others
 
 	cluster       *Cluster
 	controlNode   *node.Node
@@ -45,7 +46,7 @@
 	if m.up || m.removed {
 		return
 	}
-	m.up, m.frozen = true, false
+	m.up, m.frozen, m.dark = true, false, false
 	m.starts++
 	m.version, m.config, m.endpoints, m.nodes, m.epoch = 0, "", nil, 0, 0
 	m.diskBusyUntil = 0
@@ -65,8 +66,19 @@
 	m.scheduleDiscovery(m.starts)
 }
 
-// Kill ends a machine's process. What is on its disk stays.
-func (m *Machine) Kill() { m.up, m.controlNode, m.delayed = false, nil, nil }
+// Kill ends a machine's process. What is on its disk stays. The machine resets the connections of that
+// process, and refuses new ones.
+func (m *Machine) Kill() {
+	if m.up {
+		m.cluster.resetConnections(m)
+	}
+	m.up, m.controlNode, m.delayed = false, nil, nil
+}
+
+// PowerOff ends a machine's process without a word to anybody. What is on its disk stays.
+func (m *Machine) PowerOff() {
+	m.up, m.dark, m.controlNode, m.delayed = false, true, nil, nil
+}
 
 // WipeDisk takes what is on the disk of a machine that is down.
 func (m *Machine) WipeDisk() { m.stored = replica.PersistentState{} }
--- a/internal/controlplane/simulation/membership.go
+++ b/internal/controlplane/simulation/membership.go
@@ -78,7 +78,7 @@
 // Replace takes a machine away for good, and adds another one with an empty disk in its zone, at a new
 // address. It is to be started.
 func (c *Cluster) Replace(old *Machine) *Machine {
-	old.Kill()
+	old.PowerOff()
 	old.removed = true
 	c.Machines = slices.DeleteFunc(c.Machines, func(m *Machine) bool { return m == old })
 	return c.Add(old.node.Zone)
--- a/internal/controlplane/simulation/membership_test.go
+++ b/internal/controlplane/simulation/membership_test.go
@@ -236,6 +236,7 @@
 					}
 					x.Run(time.Duration(rng.IntN(600)) * time.Millisecond)
 					m.Kill()
+					m.dark = rng.IntN(2) == 0 // and the machine is switched off
 					lost = append(lost, m)
 				default:
 					if slices.Contains(x.Machines, m) {
--- a/internal/controlplane/simulation/network.go
+++ b/internal/controlplane/simulation/network.go
@@ -39,10 +39,14 @@
 	c.slowLinks[[2]string{from.node.Addr, to.node.Addr}] = d
 }
 
-// HealAll ends all partitions and slow links.
+// Refuse has a firewall refuse what others send to a machine, whose process lives on, or ends that.
+func (c *Cluster) Refuse(m *Machine, refuse bool) { c.refusing[m.node.Addr] = refuse }
+
+// HealAll ends all partitions, slow links and refusals.
 func (c *Cluster) HealAll() {
 	clear(c.partitions)
 	clear(c.slowLinks)
+	clear(c.refusing)
 }
 
 // clone returns a message with a body of its own, so that a test can change what one receiver gets.
@@ -54,6 +58,43 @@
 	return &copied
 }
 
+// connected reports whether packets pass between two machines, in both directions.
+func (c *Cluster) connected(a, b *Machine) bool {
+	there, back := [2]string{a.node.Addr, b.node.Addr}, [2]string{b.node.Addr, a.node.Addr}
+	return !c.partitions[there] && !c.partitions[back]
+}
+
+// resetConnections ends all connections of a machine: the processes at their other ends hear of it.
+func (c *Cluster) resetConnections(m *Machine) {
+	for _, peer := range c.Machines {
+		if peer == m || !peer.up {
+			continue
+		}
+		start := peer.starts
+		c.schedule(c.Latency, func() {
+			if c.connected(m, peer) {
+				peer.act(start, func() { peer.controlNode.HandleDisconnected(c.Now, m.node.Addr) })
+			}
+		})
+	}
+}
+
+// refuse tells a machine's process that an address refuses connections, if a machine there is on and can
+// be reached, and runs no process, or stands behind a firewall that refuses. It reports whether that is
+// so.
+func (c *Cluster) refuse(caller *Machine, addr string) bool {
+	called := c.At(addr)
+	if called == nil || called == caller || called.dark || called.removed || !c.connected(caller, called) ||
+		called.up && !c.refusing[addr] {
+		return false
+	}
+	start := caller.starts
+	c.schedule(c.Latency, func() {
+		caller.act(start, func() { caller.controlNode.HandleRefused(c.Now, addr) })
+	})
+	return true
+}
+
 // deliver has a message come to whoever has the address by then.
 func (c *Cluster) deliver(from string, d Delivery) {
 	delay := c.Latency/3 + time.Duration(c.rng.Int64N(int64(c.Latency)*2/3)) +
--- a/internal/controlplane/simulation/simulation.go
+++ b/internal/controlplane/simulation/simulation.go
@@ -73,6 +73,7 @@
 	seq           int
 	partitions    map[[2]string]bool
 	slowLinks     map[[2]string]time.Duration
+	refusing      map[string]bool // by address: a firewall refuses what others send there
 	seeds         []string
 	acknowledged  uint64
 	violations    []string
@@ -96,6 +97,7 @@
 		rng:         rand.New(rand.NewPCG(o.Seed, 1)),
 		partitions:  map[[2]string]bool{},
 		slowLinks:   map[[2]string]time.Duration{},
+		refusing:    map[string]bool{},
 		configs:     map[uint64]string{},
 		memberships: newMembershipHistory(),
 	}
--- a/internal/controlplane/transport/reader.go
+++ b/internal/controlplane/transport/reader.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"syscall"
 	"time"
 
 	"dunespoke/internal/controlplane/message"
@@ -27,11 +29,16 @@
 }
 
 // read takes messages from a connection until it ends.
-func (t *Transport) read(conn net.Conn, dialled string) {
-	s := &inboundStream{transport: t, conn: conn, dialled: dialled, from: dialled}
+func (t *Transport) read(s *inboundStream) {
+	conn := s.conn
+	defer t.track(conn)()
+	var ended error // nil: it is closed from here
 	defer func() {
 		closeQuietly(conn)
 		t.detach(s.from, conn)
+		if s.shaken && endedByPeer(ended) && t.Disconnected != nil {
+			t.Disconnected(s.from)
+		}
 	}()
 	buf := make([]byte, readBufferSize)
 	for {
@@ -41,12 +48,18 @@
 			return
 		}
 		if err != nil {
+			ended = err
 			t.Log(events.PeerDisconnected, "from", s.from, "error", err.Error())
 			return
 		}
 	}
 }
 
+// endedByPeer reports whether a connection's reads ended by its other end, or a reset.
+func endedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // readWithin reads what there is, and fails if nothing comes within the time.
 func readWithin(conn net.Conn, buf []byte, limit time.Duration) (n int, err error) {
 	if err := conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
--- a/internal/controlplane/transport/transport.go
+++ b/internal/controlplane/transport/transport.go
@@ -8,8 +8,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -39,7 +41,12 @@
 	Dial        func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Handle takes what others send. It is called from many goroutines.
 	Handle func(from string, m *message.Message)
-	Log    func(e events.Event, pairs ...any)
+	// Disconnected is told when a connection to a peer has ended, by its end or a reset, and not by silence; its
+	// process may be gone, or live on. Called from many goroutines; nil: nobody wants to know.
+	Disconnected func(peer string)
+	// Refused is told when a peer's address refuses a connection: no process listens there. Likewise.
+	Refused func(peer string)
+	Log     func(e events.Event, pairs ...any)
 }
 
 // Transport is a process's connections to its peers.
@@ -50,6 +57,7 @@
 	mu      sync.Mutex
 	peers   map[string]*peer
 	inbound int
+	open    map[net.Conn]struct{} // all connections
 }
 
 // peer is another process, and what waits to be sent to it. The transport's lock guards it.
@@ -68,7 +76,8 @@
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	t := &Transport{Options: options, listener: listener, peers: map[string]*peer{}}
+	t := &Transport{Options: options, listener: listener, peers: map[string]*peer{},
+		open: map[net.Conn]struct{}{}}
 	go t.accept()
 	return t, nil
 }
@@ -111,11 +120,23 @@
 		t.setUserTimeout(conn)
 		go func() {
 			defer t.releaseInbound()
-			t.read(conn, "")
+			t.read(&inboundStream{transport: t, conn: conn})
 		}()
 	}
 }
 
+// track notes an open connection until release is called.
+func (t *Transport) track(conn net.Conn) (release func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.open[conn] = struct{}{}
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.open, conn)
+	}
+}
+
 // admitInbound counts a connection that a peer has opened, unless there are too many.
 func (t *Transport) admitInbound() bool {
 	t.mu.Lock()
@@ -227,6 +248,9 @@
 func (t *Transport) dialPeer(p *peer) net.Conn {
 	t.mu.Unlock()
 	conn, err := t.dial(p.addr)
+	if errors.Is(err, syscall.ECONNREFUSED) && t.Refused != nil {
+		t.Refused(p.addr)
+	}
 	t.mu.Lock()
 	if err != nil {
 		if p.conn == nil {
@@ -236,7 +260,7 @@
 		return nil
 	}
 	p.conn, p.incarnation = conn, 0
-	go t.read(conn, p.addr)
+	go t.read(&inboundStream{transport: t, conn: conn, dialled: p.addr, from: p.addr})
 	return conn
 }
 
@@ -246,12 +270,12 @@
 	defer cancel()
 	conn, err := t.Dial(ctx, "tcp", addr)
 	if err != nil {
-		return nil, trace.ConvertSystemError(err)
+		return nil, trace.Wrap(err)
 	}
 	t.setUserTimeout(conn)
 	if err := t.sendHandshake(conn, addr); err != nil {
 		closeQuietly(conn)
-		return nil, trace.ConvertSystemError(err)
+		return nil, trace.Wrap(err)
 	}
 	return conn, nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -140,6 +140,15 @@
 	s.loop.post(func() { s.node.Step(s.now(), from, m) })
 }
 
+// handleDisconnected and handleRefused take what a connection tells of a peer's process, from any goroutine.
+func (s *Server) handleDisconnected(peer string) {
+	s.loop.post(func() { s.node.HandleDisconnected(s.now(), peer) })
+}
+
+func (s *Server) handleRefused(peer string) {
+	s.loop.post(func() { s.node.HandleRefused(s.now(), peer) })
+}
+
 // sendToAllocator sends a request of the limiter.
 func (s *Server) sendToAllocator(m *message.Message) {
 	if to := s.allocator.Load(); to != nil && *to != "" {
--- a/internal/server/wiring.go
+++ b/internal/server/wiring.go
@@ -89,8 +89,8 @@
 		ReplaceAfter: replaceAfter(set), FirstStart: firstStart, Saved: saved, Limits: s.limits,
 		Incarnation: incarnation, Actions: (*actions)(s)})
 	s.transport, err = transport.New(transport.Options{Self: self.Addr, Incarnation: incarnation,
-		Listen: net.Listen,
-		Dial:   (&net.Dialer{}).DialContext, Log: s.Log, Handle: s.receive})
+		Listen: net.Listen, Dial: (&net.Dialer{}).DialContext, Log: s.Log, Handle: s.receive,
+		Disconnected: s.handleDisconnected, Refused: s.handleRefused})
 	if err != nil {
 		return err
 	}
