--- a/internal/controlplane/simulation/actions.go
+++ b/internal/controlplane/simulation/actions.go
@@ -66,7 +66,14 @@
 			}
 			m.cluster.checkMemberships(m, &m.stored)
 		}
-		m.act(a.starts, func() { m.controlNode.HandleSaved(m.cluster.Now, token, ok) })
+		if !m.cluster.unsyncedSaves {
+			m.act(a.starts, func() { m.controlNode.HandleSaved(m.cluster.Now, token, ok) })
+		}
+	}
+	if m.cluster.unsyncedSaves {
+		m.cluster.schedule(0, func() {
+			m.act(a.starts, func() { m.controlNode.HandleSaved(m.cluster.Now, token, true) })
+		})
 	}
 	m.cluster.schedule(m.diskBusyUntil-m.cluster.Now, func() {
 		if m.diskHangs {
--- a/internal/controlplane/simulation/simulation.go
+++ b/internal/controlplane/simulation/simulation.go
@@ -87,6 +87,8 @@
 	lateToken, answersAlone bool
 	// And one whose processes count machines alone, and know nothing of zones and regions.
 	ignoresDomains bool
+	// And one whose disks tell a save as done before it is synced.
+	unsyncedSaves bool
 }
 
 // New returns a cluster whose machines are all off.
