Authenticate peers by keys that an operator gives, off where there are none

Cause: whoever reached the control port was a peer, and an address that it claimed was believed. Change: peer_auth.key_file names a file of keys. From the first a process issues itself a certificate for its address, under an Ed25519 authority derived from the key; it accepts those under any of its keys, by mutual TLS 1.3 of the standard library. The address in the handshake must be the certificate's. Keys are replaced by SIGHUP, open connections are made again; peer_auth.optional lets in and dials processes without keys while keys are given out. A peer that is refused is event 48 with the reason, keys that can't be read event 49. Keys are never logged. Without the setting nothing changes.

--- a/internal/controlplane/transport/reader.go
+++ b/internal/controlplane/transport/reader.go
@@ -24,8 +24,11 @@
 	conn      net.Conn
 	dialled   string // the address that was dialled; empty where the other end did so
 	from      string // the peer's address, as far as known
-	shaken    bool   // the handshake has come
-	decoder   message.FrameDecoder
+	// authenticatedHost is the IP address that a peer which opened the connection has shown a certificate
+	// for; empty: none.
+	authenticatedHost string
+	shaken            bool // the handshake has come
+	decoder           message.FrameDecoder
 }
 
 // read takes messages from a connection until it ends.
@@ -43,6 +46,10 @@
 	buf := make([]byte, readBufferSize)
 	for {
 		n, err := readWithin(conn, buf, idleTimeout)
+		if n > 0 && !s.shaken && s.decoder.Empty() && buf[0] == tlsHandshakeRecord {
+			t.Log(events.PeerNotAuthenticated, "peer", conn.RemoteAddr().String(), "reason", errNoKeysHere.Error())
+			return
+		}
 		s.decoder.Feed(buf[:n])
 		if !s.deliver() {
 			return
@@ -99,6 +106,10 @@
 		return errRepeatedHandshake
 	}
 	s.shaken = true
+	if host, _, err := net.SplitHostPort(handshake.Sender); s.authenticatedHost != "" &&
+		(err != nil || host != s.authenticatedHost) {
+		return errClaimedAddress
+	}
 	if err := s.transport.handleHandshake(s.conn, s.dialled, handshake, m.Incarnation); err != nil {
 		return err
 	}
--- a/internal/controlplane/transport/transport.go
+++ b/internal/controlplane/transport/transport.go
@@ -47,6 +47,8 @@
 	// Refused is told when a peer's address refuses a connection: no process listens there. Likewise.
 	Refused func(peer string)
 	Log     func(e events.Event, pairs ...any)
+	// Authentication is by what peers are authenticated, until SetAuthentication.
+	Authentication Authentication
 }
 
 // Transport is a process's connections to its peers.
@@ -54,10 +56,12 @@
 	Options
 	listener net.Listener
 
-	mu      sync.Mutex
-	peers   map[string]*peer
-	inbound int
-	open    map[net.Conn]struct{} // all connections
+	mu             sync.Mutex
+	peers          map[string]*peer
+	inbound        int
+	authentication Authentication
+	open           map[net.Conn]struct{} // all connections
+	plaintextUntil map[string]time.Time  // by address: it knows no TLS
 }
 
 // peer is another process, and what waits to be sent to it. The transport's lock guards it.
@@ -77,7 +81,8 @@
 		return nil, trace.ConvertSystemError(err)
 	}
 	t := &Transport{Options: options, listener: listener, peers: map[string]*peer{},
-		open: map[net.Conn]struct{}{}}
+		authentication: options.Authentication, open: map[net.Conn]struct{}{},
+		plaintextUntil: map[string]time.Time{}}
 	go t.accept()
 	return t, nil
 }
@@ -120,21 +125,20 @@
 		t.setUserTimeout(conn)
 		go func() {
 			defer t.releaseInbound()
-			t.read(&inboundStream{transport: t, conn: conn})
+			t.readInbound(conn)
 		}()
 	}
 }
 
-// track notes an open connection until release is called.
-func (t *Transport) track(conn net.Conn) (release func()) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.open[conn] = struct{}{}
-	return func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		delete(t.open, conn)
+// readInbound authenticates a connection that a peer has opened, and reads it.
+func (t *Transport) readInbound(conn net.Conn) {
+	authenticated, host, err := t.authenticateInbound(conn)
+	if err != nil {
+		t.Log(events.PeerNotAuthenticated, "peer", conn.RemoteAddr().String(), "reason", err.Error())
+		closeQuietly(conn)
+		return
 	}
+	t.read(&inboundStream{transport: t, conn: authenticated, authenticatedHost: host})
 }
 
 // admitInbound counts a connection that a peer has opened, unless there are too many.
@@ -273,11 +277,15 @@
 		return nil, trace.Wrap(err)
 	}
 	t.setUserTimeout(conn)
-	if err := t.sendHandshake(conn, addr); err != nil {
+	authenticated, err := t.authenticateOutbound(ctx, conn, addr)
+	if err == nil {
+		err = t.sendHandshake(authenticated, addr)
+	}
+	if err != nil {
 		closeQuietly(conn)
 		return nil, trace.Wrap(err)
 	}
-	return conn, nil
+	return authenticated, nil
 }
 
 // writeAll writes frames. A connection is dead if it takes nothing for long, and not if it takes much
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -50,6 +50,8 @@
 	PeerDisconnected       = Event{45, "peer disconnected", 1}
 	DeltaInvalid           = Event{46, "configuration delta invalid, requesting the full one", 0}
 	UserTimeoutUnsupported = Event{47, "TCP_USER_TIMEOUT unsupported", 0}
+	PeerNotAuthenticated   = Event{48, "peer refused, not authenticated", 0}
+	PeerKeysInvalid        = Event{49, "keys for peers invalid, keeping the old ones", 0}
 )
 
 // Events of the control API.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -54,6 +54,9 @@
 	storage   *storage.Storage // nil without a disk
 	api       *api.Handler
 	listener  *accept.Server // of clients; nil: not yet
+	// authenticatesPeers says whether the settings name keys; only the goroutine that reloads settings
+	// touches it.
+	authenticatesPeers bool
 
 	allocator     atomic.Pointer[string] // the address of the rate-limit allocator; nil: none is known
 	configVersion atomic.Uint64          // in force; 0: none
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -51,14 +51,15 @@
 	}
 }
 
-// reloadSettings reads the settings again. The platform's address and seeds are applied; all else needs a
-// restart.
+// reloadSettings reads the settings again. The platform's address, the seeds and the keys for peers are
+// applied; all else needs a restart.
 func (s *Server) reloadSettings() {
 	set, err := settings.ReadFile(s.path)
 	if err != nil {
 		s.Log(events.SettingsInvalid, "error", trace.UserMessage(err))
 		return
 	}
+	s.reloadPeerKeys(set)
 	s.loop.post(func() {
 		if set.CloudAPI.Address != s.settings.CloudAPI.Address {
 			s.discovery = discovery.New(set.CloudAPI.Address, direct.Dial)
@@ -68,3 +69,16 @@
 		s.Log(events.Settings)
 	})
 }
+
+// reloadPeerKeys has peers authenticated by the keys that the settings name now.
+func (s *Server) reloadPeerKeys(set *settings.Settings) {
+	authentication, err := peerAuthentication(set)
+	if err != nil {
+		s.Log(events.PeerKeysInvalid, "error", trace.UserMessage(err))
+		return
+	}
+	if authentication.Authenticator != nil || s.authenticatesPeers {
+		s.authenticatesPeers = authentication.Authenticator != nil
+		s.transport.SetAuthentication(authentication)
+	}
+}
--- a/internal/server/wiring.go
+++ b/internal/server/wiring.go
@@ -18,6 +18,7 @@
 	"dunespoke/internal/controlplane/discovery"
 	"dunespoke/internal/controlplane/message"
 	"dunespoke/internal/controlplane/node"
+	"dunespoke/internal/controlplane/peerauth"
 	"dunespoke/internal/controlplane/replica"
 	"dunespoke/internal/controlplane/storage"
 	"dunespoke/internal/controlplane/transport"
@@ -88,15 +89,36 @@
 	s.node = node.New(s.now(), node.Options{Self: self, Seeds: set.SeedPeerAddrs(), Tolerance: tolerance(set),
 		ReplaceAfter: replaceAfter(set), FirstStart: firstStart, Saved: saved, Limits: s.limits,
 		Incarnation: incarnation, Actions: (*actions)(s)})
+	authentication, err := peerAuthentication(set)
+	if err != nil {
+		return err
+	}
+	s.authenticatesPeers = authentication.Authenticator != nil
 	s.transport, err = transport.New(transport.Options{Self: self.Addr, Incarnation: incarnation,
 		Listen: net.Listen, Dial: (&net.Dialer{}).DialContext, Log: s.Log, Handle: s.receive,
-		Disconnected: s.handleDisconnected, Refused: s.handleRefused})
+		Disconnected: s.handleDisconnected, Refused: s.handleRefused, Authentication: authentication})
 	if err != nil {
 		return err
 	}
 	return s.serveControl()
 }
 
+// peerAuthentication is by what peers are authenticated, as the settings say.
+func peerAuthentication(set *settings.Settings) (transport.Authentication, error) {
+	if set.PeerAuth.KeyFile == "" {
+		return transport.Authentication{}, nil
+	}
+	keys, err := peerauth.ReadFile(set.PeerAuth.KeyFile)
+	if err != nil {
+		return transport.Authentication{}, trace.Wrap(err)
+	}
+	authenticator, err := peerauth.New(keys, set.IPAddress)
+	if err != nil {
+		return transport.Authentication{}, trace.Wrap(err)
+	}
+	return transport.Authentication{Authenticator: authenticator, Required: !set.PeerAuth.Optional}, nil
+}
+
 // openStorage opens the disk, if there is one. A store that is damaged counts as an empty disk that is not of
 // the first start.
 func (s *Server) openStorage() (saved *replica.PersistentState, firstStart bool, err error) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,7 @@
 	Limits   Limits            `toml:"limits"`
 	Survive  Survive           `toml:"survive"`
 	CloudAPI CloudAPI          `toml:"cloud_api"`
+	PeerAuth PeerAuth          `toml:"peer_auth"`
 	// NumericBounds are the bounds that are numbers, by name. Those that end in _s are in seconds.
 	NumericBounds map[string]float64 `toml:"-"`
 }
@@ -69,6 +70,15 @@
 	Regions  int `toml:"regions"`
 }
 
+// PeerAuth is by what the system's own processes know each other. Default: by nothing, so that whoever
+// reaches the first spare port is a peer.
+type PeerAuth struct {
+	// KeyFile is a file of keys, one a line: the first is used, all are accepted. It is read again on SIGHUP.
+	KeyFile string `toml:"key_file"`
+	// Optional lets in peers without keys, while keys are given to one process after the other. Default: false.
+	Optional bool `toml:"optional"`
+}
+
 // CloudAPI is where the platform holds the list of servers.
 type CloudAPI struct {
 	Address          string  `toml:"address"`
