Hold up no message behind a dial that hangs

Change: a connection that a peer opens ends the dial to it, and what waits goes out by that; a dial makes a further attempt each 0.1 s, since a packet to a machine that is coming up is lost and sent again only after a second; a replica that serves in no view looks whether one is possible as soon as another is heard. Test: TestADialThatHangsHoldsUpNothing.

--- a/internal/controlplane/replica/failure_detector.go
+++ b/internal/controlplane/replica/failure_detector.go
@@ -332,6 +332,7 @@
 	}
 	p.recordContact(h.Epoch, sentAt)
 	delayed := known && r.now >= sentAt+failureTimeout // it tells how the peer was, not how it is
+	cameBack := p.silent(r.now)
 	if !delayed {
 		p.update(r.now, h, restarted)
 	}
@@ -349,6 +350,9 @@
 	}
 	r.followView(from, p, h, delayed)
 	r.sendNewerEndpoints(from, p)
+	if cameBack && r.state == StateStandby { // a view may be possible now
+		r.evaluateView()
+	}
 }
 
 // followView takes what a heartbeat tells of its sender's view.
--- a/internal/controlplane/transport/failure_test.go
+++ b/internal/controlplane/transport/failure_test.go
@@ -1,7 +1,10 @@
 package transport
 
 import (
+	"context"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,3 +101,66 @@
 	}
 	t.Fatalf("%s is not connected", peer)
 }
+
+// Given a peer whose machine answers nothing yet, when it comes up and opens a connection itself, then
+// what waits for the dial goes out by that at once; and when it does not, by a further attempt of the
+// dial.
+func TestADialThatHangsHoldsUpNothing(t *testing.T) {
+	t.Run("the peer connects", func(t *testing.T) {
+		dark, once := make(chan struct{}), sync.Once{}
+		a, b := givenDark(t, func(ctx context.Context, _, _ string) (net.Conn, error) {
+			once.Do(func() { close(dark) })
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		a.Send(b.Self, &message.Message{RequestID: 5, Body: &message.Watch{}})
+		<-dark
+		began := time.Now()
+		b.Send(a.Self, &message.Message{Body: &message.Watch{}})
+		if id := <-b.came; id != 5 || time.Since(began) > dialTimeout/2 {
+			t.Errorf("request %d came after %v", id, time.Since(began))
+		}
+	})
+	t.Run("another attempt", func(t *testing.T) {
+		var attempts atomic.Int32
+		dialer := &net.Dialer{}
+		a, b := givenDark(t, func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if attempts.Add(1) == 1 {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return dialer.DialContext(ctx, network, addr)
+		})
+		began := time.Now()
+		a.Send(b.Self, &message.Message{RequestID: 6, Body: &message.Watch{}})
+		if id := <-b.came; id != 6 || time.Since(began) > dialTimeout {
+			t.Errorf("request %d came after %v, %d attempts", id, time.Since(began), attempts.Load())
+		}
+	})
+}
+
+// darkPeer is a transport and the requests that came to it.
+type darkPeer struct {
+	*Transport
+	came chan uint64
+}
+
+// givenDark makes two ends on loopback addresses, of which the first dials by a function of its own.
+func givenDark(t *testing.T, dial func(context.Context, string, string) (net.Conn, error)) (a, b *darkPeer) {
+	t.Helper()
+	var ends []*darkPeer
+	for _, d := range []func(context.Context, string, string) (net.Conn, error){dial, (&net.Dialer{}).DialContext} {
+		p, listener := &darkPeer{came: make(chan uint64, 64)}, listen(t)
+		var err error
+		p.Transport, err = New(Options{Self: listener.Addr().String(), Dial: d,
+			Listen: func(string, string) (net.Listener, error) { return listener, nil },
+			Handle: func(_ string, m *message.Message) { p.came <- m.RequestID },
+			Log:    func(events.Event, ...any) {}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = p.Close() })
+		ends = append(ends, p)
+	}
+	return ends[0], ends[1]
+}
--- a/internal/controlplane/transport/transport.go
+++ b/internal/controlplane/transport/transport.go
@@ -8,10 +8,8 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -23,7 +21,6 @@
 
 // Bounds and times of connections.
 const (
-	dialTimeout = 400 * time.Millisecond
 	// writeTimeout is for a peer that has what was sent and does not say so: the connection is dead.
 	writeTimeout          = 1000 * time.Millisecond
 	redialDelay           = 100 * time.Millisecond // to a peer that could not be reached
@@ -71,6 +68,7 @@
 	conn        net.Conn // to write to; nil: none is open
 	incarnation uint64   // of the process at its other end; 0: not told yet
 	writing     bool
+	cancelDial  func() // ends the dial under way; nil: none is
 	lastFailure time.Time
 }
 
@@ -181,6 +179,9 @@
 		p.incarnation = incarnation
 	case p.conn == nil || !p.writing:
 		p.conn, p.incarnation = conn, incarnation
+		if p.cancelDial != nil { // what waits for it goes by this connection
+			p.cancelDial()
+		}
 	case p.incarnation != 0 && p.incarnation != incarnation:
 		closeQuietly(p.conn)
 		p.conn, p.incarnation = conn, incarnation
@@ -247,47 +248,6 @@
 	p.writing = false
 }
 
-// dialPeer opens a connection to a peer; nil: it can't be reached, and what was queued is lost, unless the
-// peer has opened one meanwhile. The lock is held by the caller, and not while it dials.
-func (t *Transport) dialPeer(p *peer) net.Conn {
-	t.mu.Unlock()
-	conn, err := t.dial(p.addr)
-	if errors.Is(err, syscall.ECONNREFUSED) && t.Refused != nil {
-		t.Refused(p.addr)
-	}
-	t.mu.Lock()
-	if err != nil {
-		if p.conn == nil {
-			p.lastFailure = time.Now()
-			p.queue.clear()
-		}
-		return nil
-	}
-	p.conn, p.incarnation = conn, 0
-	go t.read(&inboundStream{transport: t, conn: conn, dialled: p.addr, from: p.addr})
-	return conn
-}
-
-// dial opens a connection and says who is calling.
-func (t *Transport) dial(addr string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	conn, err := t.Dial(ctx, "tcp", addr)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	t.setUserTimeout(conn)
-	authenticated, err := t.authenticateOutbound(ctx, conn, addr)
-	if err == nil {
-		err = t.sendHandshake(authenticated, addr)
-	}
-	if err != nil {
-		closeQuietly(conn)
-		return nil, trace.Wrap(err)
-	}
-	return authenticated, nil
-}
-
 // writeAll writes frames. A connection is dead if it takes nothing for long, and not if it takes much
 // slowly: the limit is on each piece.
 func writeAll(conn net.Conn, frames []byte) error {
