Tell a new view to all who watch as soon as a quorum serves in it

Watches that wait were answered at the view's activation, when no replica has heard a quorum in it yet and tells nothing; once one has, only those past their time were. Change: all are answered then. A replica that is heard for the first time joins after 0.15 s, as one that was restarted; it has not been seen to flap.

--- a/internal/controlplane/replica/failure_detector.go
+++ b/internal/controlplane/replica/failure_detector.go
@@ -179,7 +179,7 @@
 func (d *failureDetector) peer(now time.Duration, addr string) *peerState {
 	p := d.byAddr[addr]
 	if p == nil {
-		p = &peerState{joinableAt: now + flapRejoinDelay, lastHealthy: now}
+		p = &peerState{joinableAt: now + restartRejoinDelay, lastHealthy: now}
 		d.byAddr[addr] = p
 	}
 	return p
@@ -372,6 +372,7 @@
 	if p.epoch == r.epoch && !r.quorumSeen && r.ServingWithQuorum() {
 		r.quorumSeen = true
 		r.answerDueWatchers()
+		r.notifyWatchers() // of the view
 	}
 	// it missed that
 	if r.state == StateServing && h.CaughtUp && h.Epoch < r.epoch && slices.Contains(r.chain, from) {
