Tell a process's own figures in the Prometheus exposition format

Change: metrics = "PORT/PATH" in the settings, off without it. Requests by outcome, kind and rank, a histogram of their time, and how the process sees the cluster, by the Prometheus client library, which the store links anyway. Labels are bounded: 40 counters and 8 histograms at the most, whatever routes and tenants there are. Keys, paths and tenants are not in it. Test: what is told is parsed back; 14,000 routes; a process without a disk, or that stands still; other pages.

--- a/internal/dataplane/proxy/handler.go
+++ b/internal/dataplane/proxy/handler.go
@@ -33,6 +33,26 @@
 	// NewCore starts a core for a service.
 	NewCore func(service string, set choice.Settings) (*core.Core, error)
 	Log     func(e events.Event, pairs ...any)
+	// Observer is told of each request that has ended; nil: nobody is.
+	Observer RequestObserver
+}
+
+// Outcome is how a request with a route and a tenant has ended.
+type Outcome string
+
+// The outcomes.
+const (
+	OutcomeServed    Outcome = "served"     // by a server's answer, within its route's latency target
+	OutcomeLate      Outcome = "late"       // the same, after that
+	OutcomeRejected  Outcome = "rejected"   // 503: it has not run
+	OutcomeFailed    Outcome = "failed"     // 502 or 504: it may have run
+	OutcomeOverQuota Outcome = "over_quota" // 429: beyond its tenant's quota
+)
+
+// RequestObserver is told of requests, from any goroutine. It must not block.
+type RequestObserver interface {
+	// RequestEnded tells of a request that came whole so long ago.
+	RequestEnded(route *routing.Route, outcome Outcome, took time.Duration)
 }
 
 // Handler answers clients. Its methods may be called from any goroutine.
--- a/internal/dataplane/proxy/reply.go
+++ b/internal/dataplane/proxy/reply.go
@@ -31,7 +31,7 @@
 
 // reply hands a final answer on.
 func (h *Handler) reply(x *accept.Exchange, service *core.Core, in core.Request, a core.Answer) {
-	h.recordSlow(in.Payload.(*upstreamRequest), a.Kind)
+	h.recordEnd(in.Payload.(*upstreamRequest), a.Kind)
 	switch {
 	case a.Kind == core.Served:
 		if long, ok := a.Body.(*transfer.Reply); ok {
@@ -53,13 +53,40 @@
 	}
 }
 
-// recordSlow notes a request that ran late or was given up.
-func (h *Handler) recordSlow(request *upstreamRequest, kind core.Kind) {
+// denyOverQuota answers a request that is beyond its tenant's quota.
+func (h *Handler) denyOverQuota(x *accept.Exchange, request *upstreamRequest, retryAfter time.Duration) {
+	h.observe(request, OutcomeOverQuota, h.Clock())
+	x.Answer(overQuota(retryAfter))
+}
+
+// recordEnd notes how a request has ended, and keeps one that ran late or was given up.
+func (h *Handler) recordEnd(request *upstreamRequest, kind core.Kind) {
 	now := h.Clock()
 	outcome, slow := request.trace.outcome(now, kind)
 	if slow {
 		h.SlowLog.Record(request.trace.entry(now, request, outcome))
 	}
+	h.observe(request, observedOutcome(outcome, slow), now)
+}
+
+// observe tells the observer, if there is one, of a request that has ended.
+func (h *Handler) observe(request *upstreamRequest, outcome Outcome, now time.Duration) {
+	if h.Observer != nil {
+		h.Observer.RequestEnded(request.trace.route, outcome, now-request.trace.receivedAt)
+	}
+}
+
+// observedOutcome is what an observer is told of an outcome.
+func observedOutcome(outcome slowlog.Outcome, slow bool) Outcome {
+	switch {
+	case !slow:
+		return OutcomeServed
+	case outcome == slowlog.OutcomeRejected:
+		return OutcomeRejected
+	case outcome == slowlog.OutcomeFailed:
+		return OutcomeFailed
+	}
+	return OutcomeLate
 }
 
 // outcome is how a request ended; slow reports whether it is to be kept.
--- a/internal/dataplane/proxy/stream.go
+++ b/internal/dataplane/proxy/stream.go
@@ -140,7 +140,7 @@
 	case ratelimit.Allow:
 		return request.submit()
 	case ratelimit.Deny:
-		x.Answer(overQuota(retryAfter))
+		h.denyOverQuota(x, in.Payload.(*upstreamRequest), retryAfter)
 		return nil
 	}
 	return request.leave
@@ -155,7 +155,7 @@
 // decide takes the limiter's decision on a request that has waited.
 func (r *limitedRequest) decide(allowed bool, retryAfter time.Duration) {
 	if !allowed {
-		r.x.Answer(overQuota(retryAfter))
+		r.handler.denyOverQuota(r.x, r.in.Payload.(*upstreamRequest), retryAfter)
 		return
 	}
 	r.mu.Lock()
--- a/internal/dataplane/proxy/upstream_request_test.go
+++ b/internal/dataplane/proxy/upstream_request_test.go
@@ -145,14 +145,14 @@
 	now += 30 * time.Millisecond
 	m.Append(nil, core.Server{Name: "i-1"}, time.Second)
 	now += 50 * time.Millisecond
-	m.handler.recordSlow(m, core.Served)
+	m.handler.recordEnd(m, core.Served)
 	if list, _ := m.handler.SlowLog.Entries(); len(list) != 0 {
 		t.Fatalf("in time, and kept: %+v", list)
 	}
 	now += 200 * time.Millisecond
 	m.Append(nil, core.Server{Name: "i-2"}, time.Second)
 	now += 100 * time.Millisecond
-	m.handler.recordSlow(m, core.Served)
+	m.handler.recordEnd(m, core.Served)
 	list, _ := m.handler.SlowLog.Entries()
 	want := slowlog.Entry{
 		ID:            "id-1",
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,130 @@
+package metrics
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"dunespoke/internal/controlplane/api"
+	"dunespoke/internal/dataplane/proxy"
+	"dunespoke/internal/http1"
+	"dunespoke/internal/routing"
+)
+
+// fixedStatus is a process that sees the cluster so.
+type fixedStatus api.NodeStatus
+
+// Status tells it.
+func (s fixedStatus) Status(done func(api.NodeStatus)) { done(api.NodeStatus(s)) }
+
+// silentStatus is a process whose loop stands still.
+type silentStatus struct{}
+
+// Status tells nothing.
+func (silentStatus) Status(func(api.NodeStatus)) {}
+
+// fetch asks a handler for a page.
+func fetch(t *testing.T, h *Handler, method, target string) *http1.Answer {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://127.0.0.1"+target, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.RequestURI = target
+	answered := make(chan *http1.Answer, 1)
+	h.Serve(&http1.Request{Request: request}, func(a *http1.Answer) { answered <- a })
+	return <-answered
+}
+
+// Given requests that have ended and a process that sees the cluster, when the figures are fetched, then
+// they are in the exposition format, and count what has ended.
+func TestFiguresAreToldInTheExpositionFormat(t *testing.T) {
+	registry := NewRegistry()
+	requests := NewRequests(registry)
+	registry.MustRegister(NewCluster(fixedStatus{Ready: true, Endpoints: 36, Nodes: 15, Epoch: 129,
+		Replica: &api.ReplicaStatus{Serves: true, ToleratedFailures: 1}}))
+	route := &routing.Route{Name: "r-1", Kind: routing.ReadOnly, Priority: 2}
+	requests.RequestEnded(route, proxy.OutcomeServed, 40*time.Millisecond)
+	requests.RequestEnded(route, proxy.OutcomeLate, 700*time.Millisecond)
+	requests.RequestEnded(route, proxy.OutcomeOverQuota, time.Millisecond)
+	answer := fetch(t, NewHandler("/metrics", registry), http.MethodGet, "/metrics?name=all")
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(strings.NewReader(string(answer.Body)))
+	if err != nil || answer.Status != http.StatusOK {
+		t.Fatalf("status %d: %v", answer.Status, err)
+	}
+	durations := families["dunespoke_request_duration_seconds"].GetMetric()[0].GetHistogram()
+	if got := durations.GetSampleCount(); got != 2 {
+		t.Errorf("%d durations, want 2: of those that a server answered", got)
+	}
+	if got := len(families["dunespoke_requests_total"].GetMetric()); got != 3 {
+		t.Errorf("%d outcomes, want 3", got)
+	}
+	for name, want := range map[string]float64{"dunespoke_ready": 1, "dunespoke_endpoints": 36,
+		"dunespoke_view_epoch": 129, "dunespoke_core_tolerated_failures": 1} {
+		if got := families[name].GetMetric()[0].GetGauge().GetValue(); got != want {
+			t.Errorf("%s is %v, want %v", name, got, want)
+		}
+	}
+}
+
+// Given a configuration of as many routes as there are, each with another rank, when requests of all end,
+// then the labels are no more than a few.
+func TestLabelsAreBounded(t *testing.T) {
+	const routes = 14000
+	registry := NewRegistry()
+	requests := NewRequests(registry)
+	for i := range routes {
+		kind := []routing.RequestKind{routing.ReadOnly, routing.Writing}[i%2]
+		requests.RequestEnded(&routing.Route{Kind: kind, Priority: i}, proxy.OutcomeServed, time.Millisecond)
+	}
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, family := range families {
+		series, most := len(family.GetMetric()), 2*(maxRank+1)
+		if strings.HasPrefix(family.GetName(), namespace) && series > most {
+			t.Errorf("%s has %d series, want %d at most", family.GetName(), series, most)
+		}
+	}
+}
+
+// Given a process without a disk, or whose loop stands still, when the figures are fetched, then those
+// that it has are told.
+func TestWhatIsNotKnownIsLeftOut(t *testing.T) {
+	sources := map[string]StatusSource{"no disk": fixedStatus{Nodes: 3}, "stands still": silentStatus{}}
+	for name, source := range sources {
+		registry := NewRegistry()
+		registry.MustRegister(NewCluster(source))
+		text := string(fetch(t, NewHandler("/m", registry), http.MethodGet, "/m").Body)
+		if strings.Contains(text, "dunespoke_replica") || !strings.Contains(text, "go_goroutines") {
+			t.Errorf("%s: %s", name, text)
+		}
+		if told := strings.Contains(text, "dunespoke_nodes 3"); told != (name == "no disk") {
+			t.Errorf("%s: nodes told %v", name, told)
+		}
+	}
+}
+
+func TestOtherPagesAreRefused(t *testing.T) {
+	h := NewHandler("/metrics", NewRegistry())
+	if got := fetch(t, h, http.MethodGet, "/").Status; got != http.StatusNotFound {
+		t.Errorf("another page: %d", got)
+	}
+	if got := fetch(t, h, http.MethodPost, "/metrics").Status; got != http.StatusMethodNotAllowed {
+		t.Errorf("POST: %d", got)
+	}
+}
+
+func BenchmarkRequestEnded(b *testing.B) {
+	requests := NewRequests(NewRegistry())
+	route := &routing.Route{Kind: routing.ReadOnly, Priority: 2}
+	for b.Loop() {
+		requests.RequestEnded(route, proxy.OutcomeServed, 40*time.Millisecond)
+	}
+}
--- a/internal/server/wiring.go
+++ b/internal/server/wiring.go
@@ -80,9 +80,13 @@
 	s.limiter = ratelimit.NewLimiter(incarnation, s.limits, s.sendToAllocator, s.logLimiterState)
 	s.forwarder = s.newForwarder()
 	slowLog := &slowlog.Log{}
+	observer, err := s.serveMetrics()
+	if err != nil {
+		return err
+	}
 	s.handler = proxy.New(proxy.Options{SlowLog: slowLog, NodeAddr: self.Addr, Zone: set.Zone, Tuning: Tuning,
 		Limiter: s.limiter, Clock: s.now, BodyBudget: flow.NewBudget(s.bodyBudget()), NewCore: s.newCore,
-		Log: s.Log})
+		Log: s.Log, Observer: observer})
 	s.discovery = discovery.New(set.CloudAPI.Address, direct.Dial)
 	s.api = &api.Handler{Cluster: s, Ready: s.isReady, SlowLog: slowLog, ControlPort: controlPort(set),
 		Log: s.Log}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,8 @@
 	Survive  Survive           `toml:"survive"`
 	CloudAPI CloudAPI          `toml:"cloud_api"`
 	PeerAuth PeerAuth          `toml:"peer_auth"`
+	// Metrics is where this process tells its figures, of the form PORT/PATH, at IPAddress. Default: nowhere.
+	Metrics string `toml:"metrics"`
 	// NumericBounds are the bounds that are numbers, by name. Those that end in _s are in seconds.
 	NumericBounds map[string]float64 `toml:"-"`
 }
@@ -159,6 +161,12 @@
 	return otherwise
 }
 
+// MetricsEndpoint is the address and the path at which figures are told; ok is false where they are not.
+func (s *Settings) MetricsEndpoint() (addr, path string, ok bool) {
+	port, path, ok := strings.Cut(s.Metrics, "/")
+	return net.JoinHostPort(s.IPAddress, port), "/" + path, ok
+}
+
 // PeerAddr is this process's address for the system's other processes.
 func (s *Settings) PeerAddr() string {
 	return net.JoinHostPort(s.IPAddress, strconv.Itoa(s.SparePorts[0]))
