--- a/internal/net/accept/accept_test.go
+++ b/internal/net/accept/accept_test.go
@@ -96,7 +96,7 @@
 }
 
 func TestDrainClosesWhatIsIdle(t *testing.T) {
-	log := serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
+	log := serve(t, func(t *testing.T, s *Server, _ *held, n *scenario.Net) {
 		time.AfterFunc(time.Second, func() { go s.Drain() })
 		scenario.Play(t, n, nil, `
 			client send `+now+`
@@ -110,7 +110,7 @@
 
 // A client that connects just before a drain closes the listener is heard all the same.
 func TestDrainHearsWhoHasJustConnected(t *testing.T) {
-	serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
+	serve(t, func(t *testing.T, s *Server, _ *held, n *scenario.Net) {
 		time.AfterFunc(time.Second-drainAccept, func() { go s.Drain() })
 		scenario.Play(t, n, nil, `
 			client0 wait 990ms
@@ -171,7 +171,7 @@
 // At the limit, who has long been silent makes room before who was answered, who has just come after both,
 // and who is being answered never.
 func TestSilentClientsMakeRoomFirst(t *testing.T) {
-	log := serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
+	log := serve(t, func(t *testing.T, _ *Server, h *held, n *scenario.Net) {
 		time.AfterFunc(2400*time.Millisecond, h.release)
 		scenario.Play(t, n, nil, `
 			client1 send `+now+`
@@ -200,7 +200,7 @@
 // While more than half of the connections are taken, answers close theirs: clients that ask once and keep
 // their connections once held all there were, and new requests found none.
 func TestAnswersCloseWhileConnectionsAreShort(t *testing.T) {
-	serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
+	serve(t, func(t *testing.T, _ *Server, _ *held, n *scenario.Net) {
 		scenario.Play(t, n, nil, `
 			client1 send `+now+`
 			client1 expect at once\n
@@ -217,7 +217,7 @@
 
 // A client that sends far ahead of its answer gets that answer, and no other.
 func TestTooMuchAheadIsDropped(t *testing.T) {
-	serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
+	serve(t, func(t *testing.T, _ *Server, h *held, n *scenario.Net) {
 		time.AfterFunc(time.Second, h.release)
 		scenario.Play(t, n, map[string]string{"ahead": strings.Repeat(now, 2+mostAhead/len(now))}, `
 			client send `+hold+`
@@ -227,6 +227,17 @@
 	})
 }
 
+// serveUntilDrained takes connections until the server drains, or its listener is closed with the test.
+func serveUntilDrained(s *Server) { _ = s.Serve() }
+
+// send writes to a connection.
+func send(t *testing.T, c net.Conn, p []byte) {
+	t.Helper()
+	if _, err := c.Write(p); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // An error reaches a client that still sends what it is about, and its connection ends well.
 func TestAnErrorIsNotOvertakenByAReset(t *testing.T) {
 	l, err := direct.Listen("tcp", "127.0.0.1:0")
@@ -234,14 +245,14 @@
 		t.Fatal(err)
 	}
 	s := New(l, &held{}, 2, zerolog.Nop())
-	go s.Serve()
-	c, err := net.Dial("tcp", l.Addr().String())
+	go serveUntilDrained(s)
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
-	c.Write([]byte("POST /now HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n"))
-	c.Write(make([]byte, lingerMost/2))
+	send(t, c, []byte("POST /now HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n"))
+	send(t, c, make([]byte, lingerMost/2))
 	got, err := io.ReadAll(c)
 	if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 413") {
 		t.Errorf("%q, %v", got, err)
@@ -266,7 +277,7 @@
 		l, _ := n.Listen("memory", "ingress")
 		o.Life = 3 * time.Second
 		s := NewStreams(l, refuser{}, 4, o, zerolog.Nop())
-		go s.Serve()
+		go serveUntilDrained(s)
 		time.AfterFunc(time.Second, s.Drain)
 		scenario.Play(t, n, map[string]string{"half": strings.Repeat("x", 50000)}, `
 			client1 send POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n$half
@@ -286,7 +297,7 @@
 type taker struct{ x *Exchange }
 
 func (taker) Stream(x *Exchange) func() {
-	go x.Upload.Attach(taker{x})
+	go func() { _ = x.Upload.Attach(taker{x}) }() // what becomes of it shows in the answer
 	return nil
 }
 
@@ -304,7 +315,7 @@
 			l, _ := n.Listen("memory", "ingress")
 			o.Life, o.Promises = 3*time.Second, promises
 			s := NewStreams(l, taker{}, 4, o, zerolog.Nop())
-			go s.Serve()
+			go serveUntilDrained(s)
 			time.AfterFunc(time.Second, s.Drain)
 			scenario.Play(t, n, map[string]string{"part": strings.Repeat("x", 65000)}, `
 				client send POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n$part
@@ -321,12 +332,12 @@
 		t.Fatal(err)
 	}
 	s := NewStreams(l, refuser{}, 2, Platform, zerolog.Nop())
-	go s.Serve()
-	c, err := net.Dial("tcp", l.Addr().String())
+	go serveUntilDrained(s)
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Write([]byte("POST /now HTTP/1.1\r\nHost: h\r\nContent-Length: 20000000\r\n\r\n"))
+	send(t, c, []byte("POST /now HTTP/1.1\r\nHost: h\r\nContent-Length: 20000000\r\n\r\n"))
 	for range 20 {
 		if _, err := c.Write(make([]byte, 1000000)); err != nil {
 			t.Fatal(err)
@@ -341,7 +352,7 @@
 }
 
 func TestTheLongestIdleMakesRoom(t *testing.T) {
-	log := serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
+	log := serve(t, func(t *testing.T, _ *Server, h *held, n *scenario.Net) {
 		time.AfterFunc(1500*time.Millisecond, h.release)
 		scenario.Play(t, n, nil, `
 			client1 send `+now+`
@@ -364,7 +375,7 @@
 }
 
 func TestMessagesSentAheadAreAnsweredInTurn(t *testing.T) {
-	log := serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
+	log := serve(t, func(t *testing.T, _ *Server, h *held, n *scenario.Net) {
 		time.AfterFunc(time.Second, h.release)
 		scenario.Play(t, n, nil, `
 			client send `+hold+now+now+`
@@ -385,7 +396,7 @@
 // it time. One that trickles as slowly as the silent ones above is not.
 func TestSlowBodiesThatMoveAreTaken(t *testing.T) {
 	half := strings.Repeat("x", 24<<10)
-	serve(t, func(t *testing.T, s *Server, h *held, n *scenario.Net) {
+	serve(t, func(t *testing.T, _ *Server, _ *held, n *scenario.Net) {
 		scenario.Play(t, n, map[string]string{"half": half}, `
 			client send POST /now HTTP/1.1\r\nHost: h\r\n
 			client wait 2s
