Split the sending of attempts by what is done, and name it in the field's terms

Cause: forward.go (696 lines) and stream.go (450) held the pool, attempts, connections, bodies both ways and the judging of answers; reading and pumping were functions of 62 and 76 lines; names such as gone, tell, give and told had to be looked up. Change: a file for each (forwarder, pool, staleness, exchange, connection, request_sent, request_stream, response_stream, response_pump, held_response, whole_response); the reader is steps of one job each, the pump a type. Fields and methods have whole names.

--- a/internal/net/forward/forward_bench_test.go
+++ b/internal/net/forward/forward_bench_test.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -33,11 +31,13 @@
 			const work = 5 * time.Millisecond
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				time.Sleep(work)
-				w.Write([]byte("hello"))
+				if _, err := w.Write([]byte("hello")); err != nil {
+					b.Error(err)
+				}
 			}))
 			defer server.Close()
 			f := New(Config{DialTimeout: time.Second, KeepAlive: time.Minute, Connections: 500,
-				Dial:  func(ctx context.Context, n, a string) (net.Conn, error) { return direct.Dial(ctx, n, a) },
+				Dial:  direct.Dial,
 				Judge: func(*http1.Response) core.Result { return core.Result{Code: choice.OK} }})
 			to := core.Server{Name: "s", Addr: server.Listener.Addr().String()}
 			var mu sync.Mutex
--- a/internal/net/forward/forward_test.go
+++ b/internal/net/forward/forward_test.go
@@ -35,21 +35,21 @@
 		"one alone":   {[]time.Duration{fresh}, 0},
 	} {
 		f := New(Config{})
-		var all []*conn
+		var all []*connection
 		for _, age := range c.ages {
 			near, far := net.Pipe()
 			defer far.Close()
-			all = append(all, &conn{f: f, nc: near, at: at, used: time.Now().Add(-age)})
+			all = append(all, &connection{forwarder: f, netConn: near, at: at, used: time.Now().Add(-age)})
 		}
 		f.idle[at] = append(f.idle[at], all...)
-		if got := f.take(at, nil); got != all[c.want] {
+		if got := f.acquire(at, nil); got != all[c.want] {
 			t.Errorf("%s: not the one at %d", name, c.want)
 		}
 		if n := len(f.idle[at]); n != len(all)-1 {
 			t.Errorf("%s: %d are left", name, n)
 		}
 	}
-	if f := New(Config{}); f.take(at, nil) != nil {
+	if f := New(Config{}); f.acquire(at, nil) != nil {
 		t.Error("one from an empty pool")
 	}
 }
@@ -57,17 +57,19 @@
 // To servers that begin at the last byte, a body that broke off before that has not run.
 func TestABodyHasNotRunBeforeItsLastByte(t *testing.T) {
 	near, far := net.Pipe()
-	go io.Copy(io.Discard, far)
+	go func() { _, _ = io.Copy(io.Discard, far) }()
 	up := transfer.Coming(10, nil, 0)
-	s := &streaming{up: up, terms: &transfer.Terms{Whole: true}, side: transfer.NewSide(near, flow.Pace{})}
+	s := &bodyStream{up: up, terms: &transfer.Terms{Whole: true}, side: transfer.NewSide(near, flow.Pace{})}
 	s.begin(nil)
 	for part, want := range []choice.Code{choice.Refused, choice.Reset} {
-		for s.gone < int64(5+5*part) {
-			s.Write(make([]byte, 5))
+		for s.sentBytes < int64(5+5*part) {
+			if err := s.Write(make([]byte, 5)); err != nil {
+				t.Fatal(err)
+			}
 		}
 		res := core.Result{Code: choice.Reset}
 		if s.over(&res); res.Code != want {
-			t.Errorf("after %d of 10 bytes: code %v, want %v", s.gone, res.Code, want)
+			t.Errorf("after %d of 10 bytes: code %v, want %v", s.sentBytes, res.Code, want)
 		}
 	}
 }
@@ -89,16 +91,16 @@
 	near, _ := net.Pipe()
 	f := New(Config{})
 	f.slots <- struct{}{}
-	c := &conn{f: f, at: placeOf(core.Server{})}
-	x := &exchange{f: f, conn: c, written: true}
-	x.stream = &streaming{x: x, up: transfer.Coming(10, nil, 0), terms: &transfer.Terms{Whole: true}}
+	c := &connection{forwarder: f, at: placeOf(core.Server{})}
+	x := &exchange{forwarder: f, conn: c, written: true}
+	x.stream = &bodyStream{exchange: x, up: transfer.Coming(10, nil, 0), terms: &transfer.Terms{Whole: true}}
 	x.stream.part.Store(true)
-	c.x, c.nc = x, racing{near, func() { x.stream.part.Store(false) }}
+	c.exchange, c.netConn = x, racing{near, func() { x.stream.part.Store(false) }}
 	if !x.Abort() {
 		t.Error("its last byte has left, and it is said not to have run")
 	}
 	f.slots <- struct{}{}
-	other := &conn{f: f, nc: near, x: &exchange{}}
+	other := &connection{forwarder: f, netConn: near, exchange: &exchange{}}
 	if x.conn = other; !x.Abort() || other.ended {
 		t.Errorf("ended another's connection: %v", other.ended)
 	}
@@ -116,8 +118,8 @@
 	near, far := net.Pipe()
 	f := New(Config{})
 	f.slots <- struct{}{}
-	c := &conn{f: f, nc: watched{near}}
-	x := &exchange{f: f, Attempt: core.Attempt{Payload: hello{}}}
+	c := &connection{forwarder: f, netConn: watched{near}}
+	x := &exchange{forwarder: f, Attempt: core.Attempt{Payload: hello{}}}
 	left := make(chan []byte, 1)
 	go func() {
 		b, _ := io.ReadAll(far)
@@ -171,16 +173,17 @@
 // served plays requests one after the other, none of whose clients is let, and returns how many connections
 // they took, and how many 1xx answers came to the clients.
 func served(t *testing.T, requests int, m Message) (dials, interim int) {
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		f := New(Config{DialTimeout: time.Second, KeepAlive: time.Minute, Connections: 9, Log: zerolog.Nop(),
 			Streams: func(*http.Response) core.Result { return core.Result{Code: choice.OK} },
 			Dial: func(context.Context, string, string) (net.Conn, error) {
 				dials++
 				near, far := net.Pipe()
-				go http.Serve(&one{far}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				answers := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 					w.WriteHeader(http.StatusEarlyHints)
-					w.Write(make([]byte, 100))
-				}))
+					_, _ = w.Write(make([]byte, 100)) // whoever reads it tells whether it came
+				})
+				go func() { _ = http.Serve(&one{far}, answers) }() // until the connection ends
 				return near, nil
 			}})
 		r := reader{make(chan struct{}), make(chan struct{}), &interim}
--- a/internal/net/forward/hold.go
+++ b/internal/net/forward/held_response.go
@@ -12,7 +12,7 @@
 // hold takes a piece of an answer that is held until it is whole, or longer than may be held: then it is
 // passed on from its beginning. over reports that the answer needs no more of the loop that found the piece,
 // and on whether the connection is to be read on.
-func (c *conn) hold(x *exchange, kind http1.Kind, r *http.Response, piece, buf []byte) (on, over bool) {
+func (c *connection) hold(x *exchange, kind http1.Kind, r *http.Response, piece, buf []byte) (on, over bool) {
 	switch kind {
 	case http1.Head:
 		if _, ok := x.stream.headCame(); !ok {
@@ -22,14 +22,14 @@
 	case http1.Data:
 		if c.held == nil {
 			// As long as it is to be, where that is told: most are, and are short.
-			c.held = make([]byte, 0, min(len(piece)+int(max(0, c.pieces.Length())), c.f.Hold))
+			c.held = make([]byte, 0, min(len(piece)+int(max(0, c.pieces.Length())), c.forwarder.Hold))
 		}
 		c.held = append(c.held, piece...)
 	case http1.End:
 		on, again := c.whole(x, false)
 		return on, !again
 	}
-	if n := c.pieces.Length(); len(c.held) > c.f.Hold || n > int64(c.f.Hold-len(c.held)) {
+	if n := c.pieces.Length(); len(c.held) > c.forwarder.Hold || n > int64(c.forwarder.Hold-len(c.held)) {
 		return c.move(x, c.head, buf), true
 	}
 	return true, false
@@ -59,13 +59,13 @@
 }
 
 // arrival tells how an answer came.
-func (c *conn) arrival(closed bool) Arrival {
+func (c *connection) arrival(closed bool) Arrival {
 	return Arrival{Closed: closed, First: c.count == 1 && !c.foreign}
 }
 
 // awaitOwn goes on to read after an answer that was another request's, which came late. The connection is not
 // used again after the one awaited.
-func (c *conn) awaitOwn(x *exchange) {
+func (c *connection) awaitOwn(x *exchange) {
 	c.foreign = true
 	x.stream.headAwaited()
 	if x.stream.head {
@@ -74,7 +74,7 @@
 }
 
 // ends reports whether the end of the connection completes the answer that is held.
-func (c *conn) ends(readErr error) bool {
+func (c *connection) ends(readErr error) bool {
 	if !errors.Is(readErr, io.EOF) {
 		return false
 	}
@@ -84,14 +84,14 @@
 
 // whole has the answer judged that is held. It reports whether the connection can be used on, or whether it
 // was another request's answer, so that the one awaited is yet to come.
-func (c *conn) whole(x *exchange, closed bool) (on, again bool) {
+func (c *connection) whole(x *exchange, closed bool) (on, again bool) {
 	r, held := c.head, c.held
 	c.head, c.held, c.interim = nil, nil, nil
 	answer := &http1.Response{Response: r, Content: held}
 	var result core.Result
 	code := ""
 	if j, ok := x.Payload.(Judging); !ok {
-		result = c.f.Judge(answer)
+		result = c.forwarder.Judge(answer)
 	} else {
 		var fit Fit
 		switch result, fit = j.Judge(answer, c.arrival(closed)); {
