Tell a refused peer at most once in ten seconds for each host

Cause: a process with other keys dials several times a second, and each refusal was a line (seen with three real processes). Change: event 48 once in 10 s for each host.

--- a/internal/controlplane/transport/authentication.go
+++ b/internal/controlplane/transport/authentication.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"syscall"
 	"time"
@@ -18,6 +19,7 @@
 	authTimeout = 400 * time.Millisecond // for the handshake of a connection that a peer has opened
 	// plaintextRetention is for how long a peer that knows no TLS is dialled without, before it is tried again.
 	plaintextRetention = 10 * time.Second
+	refusalLogInterval = 10 * time.Second // between log lines of the same host's refusals
 )
 
 // tlsHandshakeRecord is the first byte of a connection with TLS. Frames begin with 0: none is that long.
@@ -131,10 +133,29 @@
 		t.noteNoTLS(addr)
 		return nil, err
 	}
-	t.Log(events.PeerNotAuthenticated, "peer", addr, "reason", err.Error())
+	t.logRefused(addr, err)
 	return nil, err
 }
 
+// logRefused tells of a peer that is refused, once in a while for each host: it comes again and again.
+func (t *Transport) logRefused(peer string, reason error) {
+	host, _, err := net.SplitHostPort(peer)
+	if err != nil {
+		host = peer
+	}
+	now := time.Now()
+	t.mu.Lock()
+	due := now.After(t.refusedAt[host].Add(refusalLogInterval))
+	if due {
+		maps.DeleteFunc(t.refusedAt, func(_ string, at time.Time) bool { return now.After(at.Add(refusalLogInterval)) })
+		t.refusedAt[host] = now
+	}
+	t.mu.Unlock()
+	if due {
+		t.Log(events.PeerNotAuthenticated, "peer", peer, "reason", reason.Error())
+	}
+}
+
 // speaksNoTLS reports whether a handshake failed as it does with a process that knows no TLS or has no
 // keys: it closes the connection, or sends a frame.
 func speaksNoTLS(err error) bool {
--- a/internal/controlplane/transport/reader.go
+++ b/internal/controlplane/transport/reader.go
@@ -47,7 +47,7 @@
 	for {
 		n, err := readWithin(conn, buf, idleTimeout)
 		if n > 0 && !s.shaken && s.decoder.Empty() && buf[0] == tlsHandshakeRecord {
-			t.Log(events.PeerNotAuthenticated, "peer", conn.RemoteAddr().String(), "reason", errNoKeysHere.Error())
+			t.logRefused(conn.RemoteAddr().String(), errNoKeysHere)
 			return
 		}
 		s.decoder.Feed(buf[:n])
--- a/internal/controlplane/transport/transport.go
+++ b/internal/controlplane/transport/transport.go
@@ -59,6 +59,7 @@
 	authentication Authentication
 	open           map[net.Conn]struct{} // all connections
 	plaintextUntil map[string]time.Time  // by address: it knows no TLS
+	refusedAt      map[string]time.Time  // by host: when a log line last told that it was refused
 }
 
 // peer is another process, and what waits to be sent to it. The transport's lock guards it.
@@ -80,7 +81,7 @@
 	}
 	t := &Transport{Options: options, listener: listener, peers: map[string]*peer{},
 		authentication: options.Authentication, open: map[net.Conn]struct{}{},
-		plaintextUntil: map[string]time.Time{}}
+		plaintextUntil: map[string]time.Time{}, refusedAt: map[string]time.Time{}}
 	go t.accept()
 	return t, nil
 }
@@ -132,7 +133,7 @@
 func (t *Transport) readInbound(conn net.Conn) {
 	authenticated, host, err := t.authenticateInbound(conn)
 	if err != nil {
-		t.Log(events.PeerNotAuthenticated, "peer", conn.RemoteAddr().String(), "reason", err.Error())
+		t.logRefused(conn.RemoteAddr().String(), err)
 		closeQuietly(conn)
 		return
 	}
