Let a sent request that may not be repeated run when its client leaves

Change: core.Config.FinishSent, on in the gateway: an attempt of a request that is not safe to repeat, once it has been sent, ends with its answer or its deadline, and the answer is dropped. What has not left is ended at once, and never will. Test: TestWhatIsSentAndNotRepeatableRunsToItsEnd, TestOnlyWhatHasNotLeftIsAborted; the proxy's model of faults plays it.

--- a/core/core.go
+++ b/core/core.go
@@ -87,6 +87,12 @@
 	Abort() (mayHaveRun bool)
 }
 
+// Unsent is a Running that tells whether anything of its request has left.
+type Unsent interface {
+	// AbortUnsent ends the attempt as Abort does, if nothing of its request has left. It reports whether it did.
+	AbortUnsent() bool
+}
+
 // Upstream sends attempts to servers. Its methods are called on the core's goroutine and must not block.
 type Upstream interface {
 	Start(Attempt) Running
@@ -108,6 +114,10 @@
 	Counter  Counter           // may be nil where Settings.Counter is false
 	Log      func(line string) // takes the gate's lines for on-call staff; may be nil
 	Watch    Watcher           // is told of attempts; may be nil
+	// FinishSent lets an attempt of a request that is not safe to repeat go on when its client leaves, once
+	// it has been sent: to break it off would leave open what has become of it. It ends with its answer or
+	// its deadline.
+	FinishSent bool
 }
 
 // Watcher is told of attempts by the zone of their server, on the core's goroutine.
@@ -129,6 +139,7 @@
 	counter  Counter
 	log      func(string)
 	watch    Watcher
+	finish   bool // see Config.FinishSent
 	gate     *choice.Gate
 	wary     map[string]bool // classes that are not safe to repeat
 	aims     map[string]time.Duration
@@ -158,6 +169,7 @@
 func New(c Config) (*Core, error) {
 	start := time.Now()
 	k := &Core{set: c.Settings, upstream: c.Upstream, counter: c.Counter, log: c.Log, watch: c.Watch,
+		finish: c.FinishSent,
 		start:  start,
 		origin: time.Duration(start.UnixNano()), requests: map[uint64]*request{},
 		ids: map[string]uint64{}, servers: map[uint64]Server{}, banned: map[string]bool{}}
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -38,6 +38,13 @@
 	return a.written
 }
 
+func (a *fakeAttempt) AbortUnsent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.aborted = a.aborted || !a.written
+	return !a.written
+}
+
 type fakeCounter struct {
 	calls []func(choice.Code, float64)
 }
@@ -143,6 +150,43 @@
 	})
 }
 
+// Where what is sent is to run to its end, a client that leaves ends the attempt of a request that may be
+// repeated, and one that has not been sent yet. What was sent and may not be repeated goes on, its answer
+// is dropped, and the core forgets it.
+func TestWhatIsSentAndNotRepeatableRunsToItsEnd(t *testing.T) {
+	for _, c := range []struct {
+		class         string
+		sent, aborted bool
+	}{{"read", true, true}, {"pay", true, false}, {"pay", false, true}} {
+		withCore(t, false, func(t *testing.T, b *bench) {
+			b.finish = true
+			ticket := b.ask(c.class, time.Second)
+			attempt := b.up.started[0]
+			attempt.mu.Lock()
+			attempt.written = c.sent
+			attempt.mu.Unlock()
+			ticket.Leave()
+			b.want(t, 1)
+			if attempt.aborted != c.aborted {
+				t.Errorf("%s, sent %v: aborted %v", c.class, c.sent, attempt.aborted)
+			}
+			if !c.aborted {
+				dropped := false
+				attempt.End(Result{Code: choice.OK, Body: "late", Drop: func() { dropped = true }})
+				synctest.Wait()
+				if !dropped {
+					t.Errorf("%s: nobody drops its answer", c.class)
+				}
+			}
+			time.Sleep(time.Minute)
+			b.want(t, 1)
+			if len(b.requests) > 0 {
+				t.Errorf("%s, sent %v: the core remembers it", c.class, c.sent)
+			}
+		})
+	}
+}
+
 func TestASilentCounterHoldsNobodyUp(t *testing.T) {
 	withCore(t, true, func(t *testing.T, b *bench) {
 		b.ask("read", time.Second)
--- a/core/request.go
+++ b/core/request.go
@@ -127,6 +127,17 @@
 	c.end(at, Result{Code: code})
 }
 
+// cancel withdraws an attempt whose client has left, unless it is to run to its end.
+func (c *Core) cancel(at *attempt) {
+	running, tells := at.running.(Unsent)
+	switch {
+	case !c.finish || !c.wary[at.r.Class] || !tells:
+		c.abort(at, choice.Cancelled)
+	case !at.ended && running.AbortUnsent():
+		c.end(at, Result{Code: choice.Refused})
+	}
+}
+
 // actions is what the gate sees of the core.
 type actions struct{ c *Core }
 
@@ -156,7 +167,7 @@
 
 func (a actions) Cancel(id uint64, number int) {
 	if r := a.c.requests[id]; r != nil && number < len(r.attempts) && r.attempts[number].running != nil {
-		a.c.after = append(a.c.after, func() { a.c.abort(r.attempts[number], choice.Cancelled) })
+		a.c.after = append(a.c.after, func() { a.c.cancel(r.attempts[number]) })
 	}
 }
 
--- a/internal/dataplane/proxy/faults_test.go
+++ b/internal/dataplane/proxy/faults_test.go
@@ -472,7 +472,8 @@
 			Clock:      func() time.Duration { return time.Since(start) },
 			BodyBudget: flow.NewBudget(flow.Options{Bytes: 1 << 20, Least: 16 << 10, Window: 128 << 10}),
 			NewCore: func(_ string, set choice.Settings) (*core.Core, error) {
-				c, err := core.New(core.Config{Settings: set, Seed: 1, Upstream: up})
+				c, err := core.New(core.Config{Settings: set, Seed: 1, Upstream: up,
+					FinishSent: true})
 				if err == nil {
 					go c.Run(ctx)
 				}
--- a/internal/net/forward/exchange.go
+++ b/internal/net/forward/exchange.go
@@ -97,6 +97,18 @@
 	return mayHaveRun
 }
 
+// AbortUnsent ends the attempt if nothing of its request has left: from then on nothing will.
+func (x *exchange) AbortUnsent() bool {
+	x.mu.Lock()
+	unsent := !x.written
+	x.aborted = x.aborted || unsent
+	x.mu.Unlock()
+	if unsent {
+		x.Abort()
+	}
+	return unsent
+}
+
 // dial opens a connection and writes the request to it.
 func (x *exchange) dial() {
 	ctx, cancel := context.WithTimeout(context.Background(), x.forwarder.DialTimeout)
--- a/internal/net/forward/forward_test.go
+++ b/internal/net/forward/forward_test.go
@@ -106,6 +106,28 @@
 	}
 }
 
+// Given an attempt whose client has left, when nothing of it has left, then it is ended, and nothing
+// leaves any more; when it has been sent, then it goes on.
+func TestOnlyWhatHasNotLeftIsAborted(t *testing.T) {
+	f := New(Config{})
+	unsent := &exchange{forwarder: f, Attempt: core.Attempt{Payload: hello{}}}
+	if !unsent.AbortUnsent() {
+		t.Error("it goes on, and nothing has left")
+	}
+	near, _ := net.Pipe()
+	f.slots <- struct{}{}
+	if unsent.write(&connection{forwarder: f, netConn: near}) || unsent.written {
+		t.Error("it is written after its end")
+	}
+	f.slots <- struct{}{}
+	c := &connection{forwarder: f, netConn: near}
+	sent := &exchange{forwarder: f, conn: c, written: true}
+	c.exchange = sent
+	if sent.AbortUnsent() || c.ended || sent.aborted {
+		t.Error("it is ended, and has been sent")
+	}
+}
+
 // watched is a connection on which something has come that nobody asked for.
 type watched struct{ net.Conn }
 
--- a/internal/net/forward/forwarder.go
+++ b/internal/net/forward/forwarder.go
@@ -41,6 +41,11 @@
 	Log         zerolog.Logger
 }
 
+var (
+	_ core.Upstream = (*Forwarder)(nil)
+	_ core.Unsent   = (*exchange)(nil)
+)
+
 // Forwarder sends attempts. It is a core.Upstream.
 type Forwarder struct {
 	Config
--- a/internal/server/wiring.go
+++ b/internal/server/wiring.go
@@ -208,7 +208,8 @@
 // newCore starts a service's core.
 func (s *Server) newCore(service string, set choice.Settings) (*core.Core, error) {
 	c, err := core.New(core.Config{Settings: set, Seed: uint64(time.Now().UnixNano()), Upstream: s.forwarder,
-		Log: func(line string) { s.Log(events.Decision, "service", service, "line", line) }})
+		FinishSent: true,
+		Log:        func(line string) { s.Log(events.Decision, "service", service, "line", line) }})
 	if err != nil {
 		return nil, trace.Wrap(err, "core of service %s", service)
 	}
