--- a/internal/controlplane/transport/authentication.go
+++ b/internal/controlplane/transport/authentication.go
@@ -147,7 +147,9 @@
 	t.mu.Lock()
 	due := now.After(t.refusedAt[host].Add(refusalLogInterval))
 	if due {
-		maps.DeleteFunc(t.refusedAt, func(_ string, at time.Time) bool { return now.After(at.Add(refusalLogInterval)) })
+		maps.DeleteFunc(t.refusedAt, func(_ string, at time.Time) bool {
+			return now.After(at.Add(refusalLogInterval))
+		})
 		t.refusedAt[host] = now
 	}
 	t.mu.Unlock()
--- a/internal/controlplane/transport/failure_test.go
+++ b/internal/controlplane/transport/failure_test.go
@@ -149,10 +149,11 @@
 func givenDark(t *testing.T, dial func(context.Context, string, string) (net.Conn, error)) (a, b *darkPeer) {
 	t.Helper()
 	var ends []*darkPeer
-	for _, d := range []func(context.Context, string, string) (net.Conn, error){dial, (&net.Dialer{}).DialContext} {
+	type dialFunc = func(context.Context, string, string) (net.Conn, error)
+	for _, dial := range []dialFunc{dial, (&net.Dialer{}).DialContext} {
 		p, listener := &darkPeer{came: make(chan uint64, 64)}, listen(t)
 		var err error
-		p.Transport, err = New(Options{Self: listener.Addr().String(), Dial: d,
+		p.Transport, err = New(Options{Self: listener.Addr().String(), Dial: dial,
 			Listen: func(string, string) (net.Listener, error) { return listener, nil },
 			Handle: func(_ string, m *message.Message) { p.came <- m.RequestID },
 			Log:    func(events.Event, ...any) {}})
