Have a process that stops leave its view before it ends

Change: once its clients are answered and no successor is awaited, it says in its heartbeats that it is about to end (draining and unhealthy) and gives up the allocator's role; the others make a view without it after 20 ms. It waits up to 0.3 s for that. Where too few would be left the view stays. Test: TestAProcessThatStopsIsNotMissed (tokens and changes within 0.15 and 0.3 s), TestTheLastOnesDoNotLeave.

--- a/internal/controlplane/node/node.go
+++ b/internal/controlplane/node/node.go
@@ -343,6 +343,16 @@
 	}
 }
 
+// Leave notes that this process is about to end. Left reports whether the others do without it by now.
+func (n *Node) Leave(now time.Duration) {
+	if n.replica != nil {
+		n.replica.Leave(now)
+	}
+}
+
+// Left reports whether this process's replica is in no view that serves.
+func (n *Node) Left() bool { return n.replica == nil || n.replica.State() != replica.StateServing }
+
 // HandingOver reports whether another replica is about to take this one's place in the core.
 func (n *Node) HandingOver() bool { return n.replica != nil && n.replica.HandingOver() }
 
--- a/internal/controlplane/replica/failure_detector.go
+++ b/internal/controlplane/replica/failure_detector.go
@@ -111,6 +111,9 @@
 	}
 }
 
+// leaving reports whether a peer's process has said that it is about to end.
+func (p *peerState) leaving() bool { return p.draining && p.unhealthy }
+
 // received notes that a heartbeat came, held up or not, and whether another process sent it than the one
 // before.
 func (p *peerState) received(now time.Duration, h *message.Heartbeat) (restarted bool) {
@@ -277,7 +280,7 @@
 	}
 	h := message.Heartbeat{
 		CaughtUp:  saved.CaughtUp && r.store.pending.CaughtUp,
-		Unhealthy: r.DiskUnhealthy() || alone, ReleasedEpoch: r.allocator.releasedEpoch,
+		Unhealthy: r.DiskUnhealthy() || alone || r.leaving, ReleasedEpoch: r.allocator.releasedEpoch,
 		StoreID: saved.StoreID, MembershipEpoch: saved.MembershipEpoch, Joint: len(saved.OutgoingMembers) > 0,
 		Draining:           r.draining,
 		UnreachableMembers: r.peers.unreachable(r.now, saved.allMembers()),
--- a/internal/controlplane/replica/membership.go
+++ b/internal/controlplane/replica/membership.go
@@ -228,6 +228,14 @@
 	r.sendHeartbeats()
 }
 
+// Leave notes that this process is about to end: it gives up its roles, and the others make a view without it at
+// once. It stays a member.
+func (r *Replica) Leave(now time.Duration) {
+	r.now, r.draining, r.leaving = now, true, true
+	r.releaseAllocatorRole()
+	r.sendHeartbeats()
+}
+
 // HandingOver reports whether this replica is about to be replaced: it drains, and a learner waits.
 func (r *Replica) HandingOver() bool {
 	if !r.draining || !r.store.pending.CaughtUp || len(r.store.pending.Members) == 0 {
--- a/internal/controlplane/replica/replica.go
+++ b/internal/controlplane/replica/replica.go
@@ -75,6 +75,7 @@
 	committed  uint64   // the version that can't be lost any more
 	quorumSeen bool     // a quorum has been in touch in this view
 	draining   bool     // this process was told to stop
+	leaving    bool     // and is about to end: the others are to do without it
 
 	store         stateStore
 	peers         failureDetector
@@ -281,7 +282,7 @@
 // isLive reports whether a member is heard, and can hold what it is given.
 func (r *Replica) isLive(addr string) bool {
 	if addr == r.self {
-		return !r.DiskUnhealthy()
+		return !r.DiskUnhealthy() && !r.leaving
 	}
 	p := r.peers.byAddr[addr]
 	return p != nil && p.heard(r.now) && !p.unhealthy
--- a/internal/controlplane/replica/view_selection.go
+++ b/internal/controlplane/replica/view_selection.go
@@ -10,7 +10,8 @@
 // Times of choosing a view.
 const (
 	viewChangeDelay = 200 * time.Millisecond // another view must be desired for so long
-	// knownFailureDelay is the same where each replica that the other view does without is known to be down.
+	// knownFailureDelay is the same where each replica that the other view does without is known to be down, or to be
+	// about to end.
 	knownFailureDelay  = 20 * time.Millisecond
 	flapRejoinDelay    = 800 * time.Millisecond // a replica that came back must be heard so long: flapping links
 	restartRejoinDelay = 150 * time.Millisecond // where its process was restarted
@@ -55,7 +56,7 @@
 // by a wrong one.
 func (r *Replica) viewChangeDelay(desired []string) time.Duration {
 	switch {
-	case r.lacksOnlyDownPeers(desired):
+	case r.lacksOnlyLostPeers(desired):
 		return knownFailureDelay
 	case r.state == StateServing:
 		return viewChangeDelay
@@ -63,15 +64,15 @@
 	return viewChangeDelay / 2
 }
 
-// lacksOnlyDownPeers reports whether a chain differs from the present one by lacking replicas that are
-// down, and by nothing else.
-func (r *Replica) lacksOnlyDownPeers(chain []string) bool {
+// lacksOnlyLostPeers reports whether a chain differs from the present one by lacking replicas that are down, or about
+// to end, and by nothing else.
+func (r *Replica) lacksOnlyLostPeers(chain []string) bool {
 	if len(chain) >= len(r.chain) {
 		return false
 	}
 	up := slices.DeleteFunc(slices.Clone(r.chain), func(addr string) bool {
 		p := r.peers.byAddr[addr]
-		return addr != r.self && p != nil && p.down
+		return addr != r.self && p != nil && (p.down || p.leaving())
 	})
 	return slices.Equal(up, chain)
 }
--- a/internal/controlplane/simulation/killed_head_test.go
+++ b/internal/controlplane/simulation/killed_head_test.go
@@ -92,3 +92,43 @@
 		}
 	}
 }
+
+// Given a core without a spare, when the process of any of its machines is told to stop, and ends once the others do
+// without it, then changes are acknowledged and tokens are given all the while: nobody has to miss it first.
+func TestAProcessThatStopsIsNotMissed(t *testing.T) {
+	const most = 150 * time.Millisecond
+	for place := range 3 {
+		s := given(t, 1)
+		g := s.asking()
+		s.Run(2 * time.Second)
+		g.pause = 0
+		m := s.At(s.Chain()[place])
+		m.controlNode.Drain(s.Now)
+		s.Run(time.Second)
+		m.controlNode.Leave(s.Now)
+		s.then("the others do without it", 300*time.Millisecond, m.controlNode.Left)
+		m.Kill()
+		if took := s.change(s.Machine("z2-2")); took > 2*most {
+			t.Errorf("place %d: acknowledged after %v", place, took)
+		}
+		s.Run(2 * time.Second)
+		if g.pause > most || len(g.twice) > 0 {
+			t.Errorf("place %d: no tokens for %v %v", place, g.pause, g.twice)
+		}
+		m.Start()
+		s.then("it is back", 2*time.Second, func() bool { return len(s.Chain()) == 3 })
+	}
+}
+
+// Given a core of which too few would be left, when a process is about to end, then the view stays: it serves to its end.
+func TestTheLastOnesDoNotLeave(t *testing.T) {
+	s := given(t, 1)
+	s.Machine("z3-1").PowerOff()
+	s.then("a view of two", 2*time.Second, func() bool { return len(s.Chain()) == 2 })
+	m := s.Machine("z2-1")
+	m.controlNode.Leave(s.Now)
+	s.Run(500 * time.Millisecond)
+	if took := s.change(s.Machine("z1-2")); took > 300*time.Millisecond || m.controlNode.Left() {
+		t.Errorf("acknowledged after %v, left %v", took, m.controlNode.Left())
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -36,6 +36,7 @@
 	readyPollInterval   = 5 * time.Millisecond   // between looks whether clients can be accepted
 	limiterTickInterval = 100 * time.Millisecond // between looks at what waits for tokens
 	handoverTimeout     = time.Second            // for a successor in the core, at the end
+	leaveTimeout        = 300 * time.Millisecond // for a view of the others, at the end
 	closeTimeout        = 500 * time.Millisecond // for the disk, at the end
 )
 
@@ -107,6 +108,7 @@
 		s.listener.Drain()
 	}
 	s.awaitHandover()
+	s.awaitLeave()
 	err := s.transport.Close()
 	if s.storage != nil {
 		err = trace.NewAggregate(err, s.storage.Close(closeTimeout))
@@ -125,10 +127,24 @@
 
 // awaitHandover waits until another replica has taken this one's place in the core, where one is there to.
 func (s *Server) awaitHandover() {
-	for end := time.Now().Add(handoverTimeout); time.Now().Before(end); time.Sleep(readyPollInterval) {
-		handing := make(chan bool, 1)
-		s.loop.post(func() { handing <- s.node.HandingOver() })
-		if !<-handing {
+	s.await(handoverTimeout, func() bool { return !s.node.HandingOver() })
+}
+
+// awaitLeave has the other replicas make a view without this one, so that nothing waits until they miss it.
+func (s *Server) awaitLeave() {
+	if s.storage == nil {
+		return
+	}
+	s.loop.post(func() { s.node.Leave(s.now()) })
+	s.await(leaveTimeout, s.node.Left)
+}
+
+// await waits until a condition holds, which is looked at on the loop, and not for longer than the limit.
+func (s *Server) await(limit time.Duration, holds func() bool) {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(readyPollInterval) {
+		held := make(chan bool, 1)
+		s.loop.post(func() { held <- holds() })
+		if <-held {
 			return
 		}
 	}
