Note on disk who may hold a lease of this replica, and wait for those alone after a start

Cause: a process that was just started didn't know to whom its earlier incarnation had given leases, and waited for all members: after a restart of all without one of three, tokens were given 0.66 s after the view. Change: a view goes to the disk with the holders of the allocator's role in views before it whose leases may not have run out; after a start those and the holder of the view that is there are awaited, if they take no part. A store of an earlier program, a learner's and a restored one have no such note, and any member is awaited. Test: TestWhoseLeaseIsAwaitedAfterARestart: at once unless the one that is away was the holder, or the note is missing.

--- a/internal/controlplane/replica/allocator_lease.go
+++ b/internal/controlplane/replica/allocator_lease.go
@@ -25,8 +25,8 @@
 //   - another process speaks from its disk: it has ended, and one that was restarted takes no part in an
 //     old view.
 //
-// What an earlier incarnation of its process has given, a replica doesn't know: it waits out the time,
-// unless all members know of the new view.
+// What an earlier incarnation of its process has given, a replica doesn't know: it waits out the time, unless
+// all who may have it know of the new view. Those are on its disk, with the view.
 
 // allocatorLeaseDuration is how long a lease lasts, from the holder's own sending. A replica that falls
 // silent to all is missed, and another view has been wished for, after more than that: nothing is waited for.
@@ -41,6 +41,8 @@
 	oldLeasesExpired bool     // it has said that no other replica can hold a lease of it any more
 	releasedEpoch    uint64   // of the last view in which this replica has given up the role
 	given            []givenLease
+	// inherited are the holders of leases that an earlier incarnation of this process may have given.
+	inherited []string
 }
 
 // givenLease is the lease that a replica may have given in a view that it has left.
@@ -56,7 +58,8 @@
 func (r *Replica) enterAllocatorView(epoch uint64, chain, leaving []string) {
 	r.allocator = allocatorLease{epoch: epoch, holder: RoleHolder(chain, QuotaAllocator),
 		participants:  slices.Concat(chain, leaving),
-		releasedEpoch: r.allocator.releasedEpoch, given: r.allocator.given}
+		releasedEpoch: r.allocator.releasedEpoch, given: r.allocator.given,
+		inherited: r.allocator.inherited}
 }
 
 // leaveAllocatorView notes what the holder may have of this replica as that leaves the view that it
@@ -110,8 +113,38 @@
 	if r.now > r.startedAt+allocatorLeaseDuration {
 		return true
 	}
-	return !slices.ContainsFunc(r.store.saved.allMembers(),
-		func(m message.Node) bool { return !r.knowsView(m.Addr) })
+	return !slices.ContainsFunc(r.allocator.inherited, func(addr string) bool { return !r.knowsView(addr) })
+}
+
+// inheritedLeaseHolders are the holders of leases that an earlier incarnation may have given, by what it
+// has left on disk: it served in the view that is there, or in one before, of which the holders are
+// noted. Where they are not, any member may be one.
+func inheritedLeaseHolders(self string, found *PersistentState) (holders []string) {
+	if !found.HoldersKnown {
+		for _, m := range found.allMembers() {
+			holders = append(holders, m.Addr)
+		}
+		return holders
+	}
+	holders = slices.Clone(found.EarlierHolders)
+	if holder := RoleHolder(found.Chain, QuotaAllocator); holder != "" {
+		holders = append(holders, holder)
+	}
+	return slices.DeleteFunc(holders, func(addr string) bool { return addr == self })
+}
+
+// possibleLeaseHolders are those who may hold a lease of this replica, given in views that it has left.
+func (r *Replica) possibleLeaseHolders() (holders []string) {
+	for _, lease := range r.allocator.given {
+		if r.now <= lease.expiresAt {
+			holders = append(holders, lease.holder)
+		}
+	}
+	if r.now <= r.startedAt+allocatorLeaseDuration {
+		holders = append(holders, r.allocator.inherited...)
+	}
+	slices.Sort(holders)
+	return slices.Compact(holders)
 }
 
 // hasLeftView reports whether the holder of a lease is known to have left the view in which it held that.
--- a/internal/controlplane/replica/membership.go
+++ b/internal/controlplane/replica/membership.go
@@ -228,8 +228,8 @@
 	r.sendHeartbeats()
 }
 
-// Leave notes that this process is about to end: it gives up its roles, and the others make a view without it at
-// once. It stays a member.
+// Leave notes that this process is about to end: it gives up its roles, and the others make a view
+// without it at once. It stays a member.
 func (r *Replica) Leave(now time.Duration) {
 	r.now, r.draining, r.leaving = now, true, true
 	r.releaseAllocatorRole()
--- a/internal/controlplane/replica/persistent_state.go
+++ b/internal/controlplane/replica/persistent_state.go
@@ -23,6 +23,11 @@
 	PromisedEpoch     uint64   // nothing below this epoch is accepted
 	Epoch             uint64   // of the view that was installed last
 	Chain             []string // and its replicas
+	// EarlierHolders are the holders of the allocator's role in views before that, to which leases may have
+	// been given that had not run out when the view was installed. HoldersKnown says that there are no
+	// others: an earlier program did not note them.
+	EarlierHolders []string
+	HoldersKnown   bool
 	Value
 	Bootstrap BootstrapState // of a seed, at the first start
 }
--- a/internal/controlplane/replica/replica.go
+++ b/internal/controlplane/replica/replica.go
@@ -107,6 +107,7 @@
 		watchers:      newWatchers(),
 		nodes:         newNodeLeases(),
 		monitor:       toleranceMonitor{tolerated: options.Tolerance.isZero()},
+		allocator:     allocatorLease{inherited: inheritedLeaseHolders(options.Self.Addr, &found)},
 	}
 	r.ensureStoreID()
 	if found.CaughtUp {
--- a/internal/controlplane/replica/view_change.go
+++ b/internal/controlplane/replica/view_change.go
@@ -349,6 +349,7 @@
 // dropped: it was never acknowledged.
 func (r *Replica) saveView(install *message.InstallView, value Value, onSaved func()) {
 	pending := &r.store.pending
+	pending.EarlierHolders, pending.HoldersKnown = r.possibleLeaseHolders(), true
 	pending.Epoch, pending.Chain, pending.PromisedEpoch = install.Epoch, install.Chain, install.Epoch
 	pending.CaughtUp, pending.RemovedByOperator = true, false
 	pending.setMembers(&message.MemberList{Members: install.Members, OutgoingMembers: install.OutgoingMembers,
--- a/internal/controlplane/replica/view_selection.go
+++ b/internal/controlplane/replica/view_selection.go
@@ -10,8 +10,8 @@
 // Times of choosing a view.
 const (
 	viewChangeDelay = 200 * time.Millisecond // another view must be desired for so long
-	// knownFailureDelay is the same where each replica that the other view does without is known to be down, or to be
-	// about to end.
+	// knownFailureDelay is the same where each replica that the other view does without is known to be
+	// down, or to be about to end.
 	knownFailureDelay  = 20 * time.Millisecond
 	flapRejoinDelay    = 800 * time.Millisecond // a replica that came back must be heard so long: flapping links
 	restartRejoinDelay = 150 * time.Millisecond // where its process was restarted
@@ -64,8 +64,8 @@
 	return viewChangeDelay / 2
 }
 
-// lacksOnlyLostPeers reports whether a chain differs from the present one by lacking replicas that are down, or about
-// to end, and by nothing else.
+// lacksOnlyLostPeers reports whether a chain differs from the present one by lacking replicas that are
+// down, or about to end, and by nothing else.
 func (r *Replica) lacksOnlyLostPeers(chain []string) bool {
 	if len(chain) >= len(r.chain) {
 		return false
--- a/internal/controlplane/simulation/allocator_lease_test.go
+++ b/internal/controlplane/simulation/allocator_lease_test.go
@@ -291,3 +291,54 @@
 		}
 	}
 }
+
+// Given a core whose processes are all killed, when all but one start again, then tokens are given as
+// soon as there is a view, unless the one that is away was the allocator, or may have been: then the time
+// of its lease is waited out from the others' start. A replica that finds no note of who may hold leases
+// on its disk waits for any.
+func TestWhoseLeaseIsAwaitedAfterARestart(t *testing.T) {
+	untilTokens := func(away int, spoil func(*Machine, *replica.PersistentState)) time.Duration {
+		s := given(t, 1)
+		s.Spoil = spoil
+		g := s.asking()
+		s.Run(2 * time.Second)
+		s.restart(s.At(s.Chain()[2])) // another view, so that the note is written
+		s.then("all serve", 3*time.Second, func() bool { return len(s.Chain()) == 3 })
+		s.Run(time.Second)
+		left := s.At(s.Chain()[away])
+		all := s.Replicas()
+		for _, m := range all {
+			m.Kill()
+		}
+		s.Run(300 * time.Millisecond)
+		for _, m := range all {
+			if m != left {
+				m.Start()
+			}
+		}
+		s.then("a view", 3*time.Second, func() bool { return s.Chain() != nil })
+		began, last := s.Now, g.last
+		s.then("tokens", 3*time.Second, func() bool { return g.last > last })
+		if len(g.twice) > 0 {
+			t.Error(g.twice)
+		}
+		return s.Now - began
+	}
+	const atOnce, awaited = 50 * time.Millisecond, 400 * time.Millisecond
+	for away, most := range []time.Duration{atOnce, time.Second, atOnce} {
+		if took := untilTokens(away, nil); took > most || away == 1 && took < awaited {
+			t.Errorf("place %d is away: tokens %v after the view", away, took)
+		}
+	}
+	forget := func(_ *Machine, r *replica.PersistentState) { r.HoldersKnown, r.EarlierHolders = false, nil }
+	if took := untilTokens(0, forget); took < awaited {
+		t.Errorf("a disk of an earlier program: tokens %v after the view", took)
+	}
+}
+
+// restart kills a machine's process and starts it again.
+func (s *scenario) restart(m *Machine) {
+	m.Kill()
+	s.Run(200 * time.Millisecond)
+	m.Start()
+}
--- a/internal/controlplane/simulation/killed_head_test.go
+++ b/internal/controlplane/simulation/killed_head_test.go
@@ -93,8 +93,9 @@
 	}
 }
 
-// Given a core without a spare, when the process of any of its machines is told to stop, and ends once the others do
-// without it, then changes are acknowledged and tokens are given all the while: nobody has to miss it first.
+// Given a core without a spare, when the process of any of its machines is told to stop, and ends once
+// the others do without it, then changes are acknowledged and tokens are given all the while: nobody has
+// to miss it first.
 func TestAProcessThatStopsIsNotMissed(t *testing.T) {
 	const most = 150 * time.Millisecond
 	for place := range 3 {
@@ -120,7 +121,8 @@
 	}
 }
 
-// Given a core of which too few would be left, when a process is about to end, then the view stays: it serves to its end.
+// Given a core of which too few would be left, when a process is about to end, then the view stays: it
+// serves to its end.
 func TestTheLastOnesDoNotLeave(t *testing.T) {
 	s := given(t, 1)
 	s.Machine("z3-1").PowerOff()
--- a/internal/controlplane/storage/state_codec.go
+++ b/internal/controlplane/storage/state_codec.go
@@ -55,6 +55,8 @@
 	RemovedByOperator bool           `pb:"36"`
 	BootstrapTrusted  bool           `pb:"33"` // of a first start: all that was promised in it is here
 	Seeds             []string       `pb:"34"` // of it
+	EarlierHolders    []string       `pb:"37"` // of the allocator's role, in views before
+	HoldersKnown      bool           `pb:"38"`
 }
 
 // legacyConfig is the configuration of the first form.
@@ -89,6 +91,8 @@
 		OutgoingMembers:       s.OutgoingMembers,
 		RemovedMembers:        s.RemovedMembers,
 		RemovedByOperator:     s.RemovedByOperator,
+		EarlierHolders:        s.EarlierHolders,
+		HoldersKnown:          s.HoldersKnown,
 		BootstrapTrusted:      s.Bootstrap.Trusted,
 		Seeds:                 s.Bootstrap.Seeds,
 	}
@@ -108,6 +112,8 @@
 		OutgoingMembers:   s.OutgoingMembers,
 		RemovedMembers:    s.RemovedMembers,
 		RemovedByOperator: s.RemovedByOperator,
+		EarlierHolders:    s.EarlierHolders,
+		HoldersKnown:      s.HoldersKnown,
 		Bootstrap: replica.BootstrapState{
 			Trusted:         s.BootstrapTrusted,
 			Seeds:           s.Seeds,
