Miss a member at once at whose address another store answers

Cause: found by the table of pauses: where a machine lost its disk and was back within 0.65 s, the proposal of the view that takes the new store in waited 0.7 s for the promise of the old one, which counted as heard; no changes, no tokens meanwhile. Change: an announcement of another store at a member's address makes that member count as down (event 35).

--- a/internal/controlplane/replica/membership.go
+++ b/internal/controlplane/replica/membership.go
@@ -180,6 +180,7 @@
 	if from == r.self || hasMember(saved.Members, announced) {
 		return
 	}
+	r.missReplacedStore(announced)
 	l := r.membership.learners[from]
 	if l == nil || l.StoreID != announce.StoreID {
 		l = &learner{Node: announced}
@@ -195,6 +196,18 @@
 	}
 }
 
+// missReplacedStore notes that a member is gone at whose address a process with another store has announced itself: its
+// promise would be awaited in vain until it counts as silent.
+func (r *Replica) missReplacedStore(announced message.Node) {
+	p := r.peers.byAddr[announced.Addr]
+	if p != nil && !p.down && announced.StoreID != 0 && p.storeID != announced.StoreID &&
+		r.isMemberAddress(announced.Addr) {
+		p.down = true
+		r.log(events.PeerReplaced, "peer", announced.Addr)
+		r.evaluateView()
+	}
+}
+
 // handleLearnerSnapshot takes the newest value, as a replica without a vote: a view that makes it a member
 // finds it there.
 func (r *Replica) handleLearnerSnapshot(from string, m *message.LearnerSnapshot) {
--- a/internal/controlplane/simulation/allocator_lease_test.go
+++ b/internal/controlplane/simulation/allocator_lease_test.go
@@ -272,6 +272,11 @@
 			m.Kill()
 			s.schedule(300*time.Millisecond, m.Start)
 		}, 600 * time.Millisecond},
+		{"wiped, and started before it is missed", func(s *scenario, m *Machine) {
+			m.PowerOff()
+			m.WipeDisk()
+			s.schedule(300*time.Millisecond, m.Start)
+		}, 600 * time.Millisecond},
 	} {
 		for place := range 3 {
 			s := given(t, 1)
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -37,6 +37,7 @@
 	MembershipChanged   = Event{31, "membership of the core changed", 0}
 	StoreDamaged        = Event{32, "store damaged and set aside, waiting for repair", 0}
 	ToleranceImpossible = Event{33, "fault tolerance impossible with the present members", 0}
+	PeerReplaced        = Event{35, "another store answers at a member's address", 0}
 	PeerRefused         = Event{34, "peer refuses connections, its process is down", 0}
 )
 
