--- a/internal/controlplane/replica/membership.go
+++ b/internal/controlplane/replica/membership.go
@@ -196,8 +196,8 @@
 	}
 }
 
-// missReplacedStore notes that a member is gone at whose address a process with another store has announced itself: its
-// promise would be awaited in vain until it counts as silent.
+// missReplacedStore notes that a member is gone at whose address a process with another store has
+// announced itself: its promise would be awaited in vain until it counts as silent.
 func (r *Replica) missReplacedStore(announced message.Node) {
 	p := r.peers.byAddr[announced.Addr]
 	if p != nil && !p.down && announced.StoreID != 0 && p.storeID != announced.StoreID &&
