Tell a list of servers that was read anew and is the same by its token alone

Cause: after each change of the view its holder of endpoint-reader reads the platform's list anew, under a newer epoch, and each process was sent the whole of it again.

Change: a Watch tells the digest of the servers that it holds (field 63); a list of the same servers is told by its epoch and sequence (field 64 of the response). Who tells no digest, as an earlier program, is told the whole list; an earlier replica doesn't read the digest and answers as before.

--- a/internal/controlplane/client/resources.go
+++ b/internal/controlplane/client/resources.go
@@ -16,7 +16,9 @@
 	base           message.ConfigVersion // a configuration that is held and not in force
 	needFullConfig bool                  // a delta did not apply
 	endpoints      *message.EndpointList
-	nodesChecksum  uint64
+	// endpointsDigest is that of the servers in the list.
+	endpointsDigest message.Digest
+	nodesChecksum   uint64
 
 	transfers   snapshotTransfers
 	chunkBudget uint64 // bytes of snapshots that a response may bring
@@ -47,6 +49,7 @@
 	}
 	if r.endpoints != nil {
 		watch.Endpoints = &message.EndpointList{Epoch: r.endpoints.Epoch, Sequence: r.endpoints.Sequence}
+		watch.EndpointsDigest = r.endpointsDigest
 	}
 	if r.needFullConfig {
 		watch.Version, watch.BaseVersion = 0, 0
@@ -74,9 +77,13 @@
 		r.base = message.ConfigVersion{}
 	}
 	if list := response.Endpoints; list != nil && list.Newer(r.endpoints) {
-		r.endpoints = list
+		r.endpoints, r.endpointsDigest = list, list.ContentDigest()
 		actions.SetEndpoints(list.Endpoints)
 	}
+	if same := response.SameEndpoints; same != nil && r.endpoints != nil && same.Newer(r.endpoints) {
+		r.endpoints = &message.EndpointList{Epoch: same.Epoch, Sequence: same.Sequence,
+			Endpoints: r.endpoints.Endpoints}
+	}
 	if response.NodesChecksum != 0 && response.NodesChecksum != r.nodesChecksum {
 		r.nodesChecksum = response.NodesChecksum
 		actions.SetNodes(response.Nodes)
--- a/internal/controlplane/message/codec.go
+++ b/internal/controlplane/message/codec.go
@@ -18,7 +18,8 @@
 // in any order; it is kept so that the same message has the same bytes in all versions.
 var fieldOrder = []protowire.Number{2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 17, 18, 19, 20, 21, 22,
 	39, 40,
-	41, 42, 45, 46, 47, 30, 31, 32, 33, 34, 35, 36, 37, 38, 48, 53, 54, 50, 51, 52, 55, 60, 61, 62, 70, 71}
+	41, 42, 45, 46, 47, 30, 31, 32, 33, 34, 35, 36, 37, 38, 48, 53, 54, 50, 51, 52, 55, 60, 61, 62, 63, 64,
+	70, 71}
 
 // errFieldType tells of a field whose wire type is not the one that its Go type has.
 var errFieldType = errors.New("message: field of another wire type")
--- a/internal/controlplane/message/golden_test.go
+++ b/internal/controlplane/message/golden_test.go
@@ -22,7 +22,7 @@
 )
 
 // addedFields lists the fields that were added to types of messages since the first golden file.
-var addedFields = map[uint64][]int{5: {55}}
+var addedFields = map[uint64][]int{5: {55}, 19: {63}, 20: {64}}
 
 // fieldsOf lists the numbers of the protobuf fields that each type of message carries, beside the type itself
 // (field 1). It is written in numbers alone, so that renaming a Go identifier can't change it.
--- a/internal/controlplane/message/watch.go
+++ b/internal/controlplane/message/watch.go
@@ -20,6 +20,8 @@
 	ChunkBudget uint64 `pb:"61"`
 	// a configuration that is held and not in force: deltas over it will do
 	BaseVersion uint64 `pb:"62"`
+	// EndpointsDigest is that of the endpoint list that the sender holds; zero: none, or it doesn't tell.
+	EndpointsDigest Digest `pb:"63"`
 }
 
 // Type is TypeWatch.
@@ -40,6 +42,9 @@
 	OutgoingMembers []Node          `pb:"31"`
 	RemovedMembers  []Node          `pb:"53"`
 	Chunks          []SnapshotChunk `pb:"60"`
+	// SameEndpoints, of epoch and sequence alone, says that the list which the watcher holds is the newest,
+	// under these. Only who has told its digest is told so.
+	SameEndpoints *EndpointList `pb:"64"`
 }
 
 // Type is TypeWatchResponse.
@@ -71,6 +76,11 @@
 	return than == nil || l.Epoch > than.Epoch || l.Epoch == than.Epoch && l.Sequence > than.Sequence
 }
 
+// ContentDigest names the servers in a list, whatever epoch and sequence it has.
+func (l *EndpointList) ContentDigest() Digest {
+	return DigestOf(MarshalAppend(nil, &EndpointList{Endpoints: l.Endpoints}))
+}
+
 // Endpoint is a server as the platform lists it.
 type Endpoint struct {
 	ID           string `pb:"1"`
--- a/internal/controlplane/replica/endpoints.go
+++ b/internal/controlplane/replica/endpoints.go
@@ -12,7 +12,8 @@
 
 // endpointTable is the list of servers, as the holder of the role EndpointReader has read it last.
 type endpointTable struct {
-	list message.EndpointList // epoch 0: none
+	list   message.EndpointList // epoch 0: none
+	digest message.Digest       // of the servers in it
 }
 
 // version is the list's epoch and sequence alone.
@@ -29,10 +30,15 @@
 	if t.list.Epoch == epoch {
 		sequence = t.list.Sequence + 1
 	}
-	t.list = message.EndpointList{Epoch: epoch, Sequence: sequence, Endpoints: endpoints}
+	t.replace(message.EndpointList{Epoch: epoch, Sequence: sequence, Endpoints: endpoints})
 	return true
 }
 
+// replace takes a newer list.
+func (t *endpointTable) replace(list message.EndpointList) {
+	t.list, t.digest = list, list.ContentDigest()
+}
+
 // SetEndpoints takes the list of servers as this replica has read it by its role, and the epoch under which
 // it held that when it began to read: the list's fencing token. A reading that was held up while another view
 // came is older than what the next holder has told by then, and is dropped.
@@ -88,6 +94,6 @@
 	if update.Endpoints == nil || !update.Endpoints.Newer(&r.endpoints.list) {
 		return
 	}
-	r.endpoints.list = *update.Endpoints
+	r.endpoints.replace(*update.Endpoints)
 	r.notifyWatchers()
 }
--- a/internal/controlplane/replica/snapshot.go
+++ b/internal/controlplane/replica/snapshot.go
@@ -170,7 +170,12 @@
 		b.add(s, key, stale)
 		isNew = true
 	}
-	if list := &r.endpoints.list; list.Epoch != 0 && list.Newer(watch.Endpoints) {
+	switch list := &r.endpoints.list; {
+	case list.Epoch == 0 || !list.Newer(watch.Endpoints):
+	case watch.Endpoints != nil && watch.EndpointsDigest == r.endpoints.digest:
+		response.SameEndpoints = r.endpoints.version() // as after each change of the view: it was read anew
+		isNew = true
+	default:
 		key := endpointsKey(list)
 		b.add(r.snapshots.get(r.now, key, func() *message.WatchResponse {
 			told := *list // not the replica's own, which changes: this process watches, too
--- a/internal/controlplane/simulation/transfer_test.go
+++ b/internal/controlplane/simulation/transfer_test.go
@@ -204,3 +204,36 @@
 		}
 	}
 }
+
+// Given a long list of servers that all hold, when the view changes, and its reader of endpoints reads the
+// same list anew, then it is told by its epoch and sequence alone; and the next server is told to all. To a
+// process of an earlier program, which doesn't tell the digest of its list, the whole of it is told.
+func TestAListThatIsReadAnewIsNotSentAgain(t *testing.T) {
+	const servers, listBytes = 1000, 50_000
+	for _, earlier := range []bool{false, true} {
+		s := given(t, 2)
+		s.sized(servers, 1)
+		link := s.slowLink(1e9, nil)
+		count := s.Network
+		s.Network = func(from, to string, m *message.Message) []Delivery {
+			if watch, ok := m.Body.(*message.Watch); ok && earlier {
+				watch.EndpointsDigest = message.Digest{}
+			}
+			return count(from, to, m)
+		}
+		killed := s.At(s.Chain()[1])
+		killed.PowerOff()
+		s.then("a view without it", 2*time.Second, func() bool { return len(s.Chain()) == 2 })
+		s.Run(time.Second)
+		watchers := len(s.Machines) - 1
+		if sent := link.bytes > watchers*listBytes/2; sent != earlier {
+			t.Errorf("earlier program %v: %d bytes were sent to %d processes", earlier, link.bytes, watchers)
+		}
+		s.Servers = append(slices.Clone(s.Servers), message.Endpoint{ID: "another", Addr: "10.20.0.1:8080"})
+		s.then("all know the next server", time.Second, func() bool {
+			return !slices.ContainsFunc(s.Machines, func(m *Machine) bool {
+				return m.up && len(m.endpoints) != servers+1
+			})
+		})
+	}
+}
