--- a/choice/fairness.go
+++ b/choice/fairness.go
@@ -12,7 +12,7 @@
 	fairnessMemory = 30 * time.Second
 	// leastShare is the part of the share of all requests that are sent, to which each flow is entitled. It is
 	// above the quarter that a deployment is held to, since a part of what is sent isn't served.
-	leastShare = 0.4
+	leastShare = 0.33
 	// fewestRequests is the decayed count of requests under which a flow is forgotten.
 	fewestRequests = 0.01
 )
