--- a/choice/choice.go
+++ b/choice/choice.go
@@ -200,8 +200,8 @@
 	return g.shed > 0 && !g.fair.starves(r) && g.rng.Float64() < math.Pow(g.shed, v/max(g.worth, 1e-9))
 }
 
-// dispatch sends what waits for room, of flows that starve first, then dearest work first, and refuses what has
-// waited too long: in overload that is the cheapest work.
+// dispatch sends what waits for room, of flows that starve first, then dearest work first, and refuses
+// what has waited too long: in overload that is the cheapest work.
 func (g *Gate) dispatch() {
 	queue := g.waiting
 	g.waiting = nil
--- a/choice/fairness_test.go
+++ b/choice/fairness_test.go
@@ -84,9 +84,10 @@
 	return 1 - lostCheap/askedCheap, 1 - lost/float64(len(isCheap))
 }
 
-// Given servers that are asked for a multiple of what they can do, when one kind of request is worth less than
-// the others, by its class or by its plan, whether it is asked for often or seldom, then it is served at least
-// a quarter as often as all. The servers' own choice of the dearest work would refuse it altogether.
+// Given servers that are asked for a multiple of what they can do, when one kind of request is worth less
+// than the others, by its class or by its plan, whether it is asked for often or seldom, then it is
+// served at least a quarter as often as all. The servers' own choice of the dearest work would refuse it
+// altogether.
 func TestNoKindOfRequestStarves(t *testing.T) {
 	const gateways, servers, slots, work = 3, 6, 2, 100 * ms
 	capacity := servers * slots / work.Seconds()
