Shed no kind below its part, however few requests a gateway hears

Cause: read again, a flow's first request at a gateway always counted as starving, so that behind many gateways, where most requests are the first of theirs for long, nothing would have been shed any more.

Change: a flow starves by the requests before the present one; and what is shed by chance leaves each flow a third of the share of all, which needs no count of the flow.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -197,7 +197,8 @@
 func (g *Gate) shedNow(r *request) bool {
 	v := g.value(r)
 	g.worth += slowW * (v - g.worth)
-	return g.shed > 0 && !g.fair.starves(r) && g.rng.Float64() < math.Pow(g.shed, v/max(g.worth, 1e-9))
+	chance := min(math.Pow(g.shed, v/max(g.worth, 1e-9)), 1-leastShare*g.fair.all.share())
+	return g.shed > 0 && g.rng.Float64() < chance
 }
 
 // dispatch sends what waits for room, of flows that starve first, then dearest work first, and refuses
--- a/choice/fairness.go
+++ b/choice/fairness.go
@@ -55,9 +55,10 @@
 	f.all.sent++
 }
 
-// starves says that fewer of a request's flow were sent than it is entitled to.
+// starves says that fewer of the requests of its flow before this one were sent than it is entitled to. The
+// first one for long doesn't starve: behind many gateways most are.
 func (f *fairness) starves(r *request) bool {
-	return r.flow.sent*f.all.asked < leastShare*f.all.sent*r.flow.asked
+	return r.flow.sent < leastShare*f.all.share()*(r.flow.asked-1)
 }
 
 // fade lets dt seconds go by, and forgets flows that are not asked for any more.
@@ -70,6 +71,14 @@
 	maps.DeleteFunc(f.flows, func(_ flow, counts *admissions) bool { return counts.asked < fewestRequests })
 }
 
+// share is the part of the requests that were sent.
+func (a *admissions) share() float64 {
+	if a.asked == 0 {
+		return 1
+	}
+	return a.sent / a.asked
+}
+
 func (a *admissions) fade(part float64) {
 	a.asked *= part
 	a.sent *= part
--- a/choice/fairness_test.go
+++ b/choice/fairness_test.go
@@ -43,6 +43,7 @@
 	cheap, dear choice.Request // class and plan of each kind
 	cheapPart   float64        // of the requests that are of the cheap kind
 	overload    float64        // times what the servers can do
+	gateways    int
 	length      time.Duration
 }
 
@@ -89,19 +90,20 @@
 // served at least a quarter as often as all. The servers' own choice of the dearest work would refuse it
 // altogether.
 func TestNoKindOfRequestStarves(t *testing.T) {
-	const gateways, servers, slots, work = 3, 6, 2, 100 * ms
+	const servers, slots, work = 6, 2, 100 * ms
 	capacity := servers * slots / work.Seconds()
 	read, pay := choice.Request{Class: "read", Plan: "soft"}, choice.Request{Class: "pay", Plan: "soft"}
 	lowPriority := choice.Request{Class: "pay", Plan: "low"}
 	for name, m := range map[string]mix{
-		"a cheap class":               {read, pay, 0.5, 3, 40 * time.Second},
-		"a cheap class, far too much": {read, pay, 0.5, 8, 40 * time.Second},
-		"a rare class":                {read, pay, 0.02, 3, 40 * time.Second},
-		"a cheap plan":                {lowPriority, pay, 0.3, 3, 40 * time.Second},
-		"a cheap plan for the most":   {lowPriority, pay, 0.9, 12, 40 * time.Second},
+		"a cheap class":               {read, pay, 0.5, 3, 3, 40 * time.Second},
+		"a cheap class, far too much": {read, pay, 0.5, 8, 3, 40 * time.Second},
+		"a rare class":                {read, pay, 0.02, 3, 3, 40 * time.Second},
+		"behind many gateways":        {read, pay, 0.5, 3, 100, 40 * time.Second},
+		"a cheap plan":                {lowPriority, pay, 0.3, 3, 3, 40 * time.Second},
+		"a cheap plan for the most":   {lowPriority, pay, 0.9, 12, 3, 40 * time.Second},
 	} {
-		f := newFleet(t, gateways, func(s *choice.Settings) {
-			s.Gateways = gateways
+		f := newFleet(t, m.gateways, func(s *choice.Settings) {
+			s.Gateways = m.gateways
 			s.Plans = append(s.Plans, choice.Plan{Name: "low", Price: 0.2})
 		}, manyBackends(servers))
 		f.answer = newQueueingServers(servers, slots, work).answer
