--- a/internal/controlplane/transport/authentication_test.go
+++ b/internal/controlplane/transport/authentication_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"dunespoke/internal/controlplane/message"
@@ -16,23 +17,23 @@
 	newKey = "fedcba9876543210fedcba9876543210"
 )
 
-// peerProcess is a transport on a loopback address of its own, what it heard, and whom it refused.
+// notHeardAfter is when what one process sends counts as refused by another.
+const notHeardAfter = time.Second
+
+// peerProcess is a transport on a network in memory, what it heard, and whom it refused.
 type peerProcess struct {
 	*Transport
 	heard   chan string
 	refused chan string
 }
 
-func startPeer(t *testing.T, host string, authentication Authentication) *peerProcess {
+func startPeer(t *testing.T, network *memoryNetwork, host string, authentication Authentication) *peerProcess {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", host+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	p := &peerProcess{heard: make(chan string, 64), refused: make(chan string, 64)}
-	p.Transport, err = New(Options{Self: listener.Addr().String(), Authentication: authentication,
-		Dial:   (&net.Dialer{}).DialContext,
-		Listen: func(string, string) (net.Listener, error) { return listener, nil },
+	self := net.JoinHostPort(host, "7560")
+	var err error
+	p.Transport, err = New(Options{Self: self, Authentication: authentication, Dial: network.dialFrom(self),
+		Listen: network.listen,
 		Handle: func(from string, _ *message.Message) { p.heard <- from },
 		Log: func(e events.Event, pairs ...any) {
 			if e == events.PeerNotAuthenticated {
@@ -62,10 +63,10 @@
 
 // reaches reports whether what one process sends comes to another: it retries, as those who speak over a
 // transport do.
-func (p *peerProcess) reaches(other *peerProcess, limit time.Duration) bool {
+func (p *peerProcess) reaches(other *peerProcess) bool {
 	retry := time.NewTicker(20 * time.Millisecond)
 	defer retry.Stop()
-	end := time.After(limit)
+	end := time.After(notHeardAfter)
 	for {
 		p.Send(other.Self, &message.Message{Body: &message.Watch{}})
 		select {
@@ -81,7 +82,6 @@
 // Given two processes with and without keys, when each sends to the other, then what comes is as the keys
 // say, in both directions; a process that requires keys tells why it refuses one.
 func TestWhoIsAPeer(t *testing.T) {
-	const reached, notReached = 5 * time.Second, 500 * time.Millisecond
 	for _, c := range []struct {
 		name   string
 		a, b   func(t *testing.T, host string) Authentication
@@ -97,21 +97,20 @@
 			peerauth.ErrUnknownAuthority.Error()},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			a := startPeer(t, "127.0.0.1", c.a(t, "127.0.0.1"))
-			b := startPeer(t, "127.0.0.2", c.b(t, "127.0.0.2"))
-			limit := notReached
-			if c.passes {
-				limit = reached
-			}
-			if passes := a.reaches(b, limit); passes != c.passes {
-				t.Errorf("from a to b: %v", passes)
-			}
-			if passes := b.reaches(a, limit); passes != c.passes {
-				t.Errorf("from b to a: %v", passes)
-			}
-			if c.reason != "" && !toldReason(c.reason, a, b) {
-				t.Errorf("nobody tells that %q", c.reason)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				network := newMemoryNetwork(t)
+				a := startPeer(t, network, "127.0.0.1", c.a(t, "127.0.0.1"))
+				b := startPeer(t, network, "127.0.0.2", c.b(t, "127.0.0.2"))
+				if passes := a.reaches(b); passes != c.passes {
+					t.Errorf("from a to b: %v", passes)
+				}
+				if passes := b.reaches(a); passes != c.passes {
+					t.Errorf("from b to a: %v", passes)
+				}
+				if c.reason != "" && !toldReason(c.reason, a, b) {
+					t.Errorf("nobody tells that %q", c.reason)
+				}
+			})
 		})
 	}
 }
@@ -137,35 +136,41 @@
 // Given a process with the key that claims another's address, when it sends, then nothing of it is taken: its
 // certificate is for its own.
 func TestAClaimedAddressIsNotBelieved(t *testing.T) {
-	b := startPeer(t, "127.0.0.2", withKeys(t, "127.0.0.2", true, oldKey))
-	liar := startPeer(t, "127.0.0.1", withKeys(t, "127.0.0.1", true, oldKey))
-	liar.Self = "127.0.0.3:7"
-	if liar.reaches(b, 500*time.Millisecond) {
-		t.Error("it is heard as 127.0.0.3")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork(t)
+		b := startPeer(t, network, "127.0.0.2", withKeys(t, "127.0.0.2", true, oldKey))
+		liar := startPeer(t, network, "127.0.0.1", withKeys(t, "127.0.0.1", true, oldKey))
+		liar.Self = "127.0.0.3:7"
+		if liar.reaches(b) {
+			t.Error("it is heard as 127.0.0.3")
+		}
+	})
 }
 
 // Given processes that speak under a key, when that is replaced everywhere, one process after the other,
 // then they hear each other all the while; and one that is left with the old key alone is heard no more.
 func TestKeysAreReplacedWithoutAStop(t *testing.T) {
-	a := startPeer(t, "127.0.0.1", withKeys(t, "127.0.0.1", true, oldKey))
-	b := startPeer(t, "127.0.0.2", withKeys(t, "127.0.0.2", true, oldKey))
-	for _, step := range []struct {
-		p    *peerProcess
-		host string
-		keys []string
-	}{
-		{a, "127.0.0.1", []string{oldKey, newKey}}, {b, "127.0.0.2", []string{oldKey, newKey}},
-		{a, "127.0.0.1", []string{newKey, oldKey}}, {b, "127.0.0.2", []string{newKey, oldKey}},
-		{a, "127.0.0.1", []string{newKey}}, {b, "127.0.0.2", []string{newKey}},
-	} {
-		step.p.SetAuthentication(withKeys(t, step.host, true, step.keys...))
-		if !a.reaches(b, 5*time.Second) || !b.reaches(a, 5*time.Second) {
-			t.Fatalf("with %d keys at %s: not heard", len(step.keys), step.host)
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork(t)
+		a := startPeer(t, network, "127.0.0.1", withKeys(t, "127.0.0.1", true, oldKey))
+		b := startPeer(t, network, "127.0.0.2", withKeys(t, "127.0.0.2", true, oldKey))
+		for _, step := range []struct {
+			p    *peerProcess
+			host string
+			keys []string
+		}{
+			{a, "127.0.0.1", []string{oldKey, newKey}}, {b, "127.0.0.2", []string{oldKey, newKey}},
+			{a, "127.0.0.1", []string{newKey, oldKey}}, {b, "127.0.0.2", []string{newKey, oldKey}},
+			{a, "127.0.0.1", []string{newKey}}, {b, "127.0.0.2", []string{newKey}},
+		} {
+			step.p.SetAuthentication(withKeys(t, step.host, true, step.keys...))
+			if !a.reaches(b) || !b.reaches(a) {
+				t.Fatalf("with %d keys at %s: not heard", len(step.keys), step.host)
+			}
 		}
-	}
-	old := startPeer(t, "127.0.0.4", withKeys(t, "127.0.0.4", true, oldKey))
-	if old.reaches(b, 500*time.Millisecond) {
-		t.Error("the old key is still believed")
-	}
+		old := startPeer(t, network, "127.0.0.4", withKeys(t, "127.0.0.4", true, oldKey))
+		if old.reaches(b) {
+			t.Error("the old key is still believed")
+		}
+	})
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/common/expfmt"
@@ -99,15 +100,17 @@
 func TestWhatIsNotKnownIsLeftOut(t *testing.T) {
 	sources := map[string]StatusSource{"no disk": fixedStatus{Nodes: 3}, "stands still": silentStatus{}}
 	for name, source := range sources {
-		registry := NewRegistry()
-		registry.MustRegister(NewCluster(source))
-		text := string(fetch(t, NewHandler("/m", registry), http.MethodGet, "/m").Body)
-		if strings.Contains(text, "dunespoke_replica") || !strings.Contains(text, "go_goroutines") {
-			t.Errorf("%s: %s", name, text)
-		}
-		if told := strings.Contains(text, "dunespoke_nodes 3"); told != (name == "no disk") {
-			t.Errorf("%s: nodes told %v", name, told)
-		}
+		synctest.Test(t, func(t *testing.T) {
+			registry := NewRegistry()
+			registry.MustRegister(NewCluster(source))
+			text := string(fetch(t, NewHandler("/m", registry), http.MethodGet, "/m").Body)
+			if strings.Contains(text, "dunespoke_replica") || !strings.Contains(text, "go_goroutines") {
+				t.Errorf("%s: %s", name, text)
+			}
+			if told := strings.Contains(text, "dunespoke_nodes 3"); told != (name == "no disk") {
+				t.Errorf("%s: nodes told %v", name, told)
+			}
+		})
 	}
 }
 
