Draw no chance while nothing is shed, and test that rare kinds are shed too

Cause: each request computed a power although nothing is shed; that rare kinds would never have been shed by the first form of the rule was read and not measured. Change: an early return; a test.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -197,8 +197,11 @@
 func (g *Gate) shedNow(r *request) bool {
 	v := g.value(r)
 	g.worth += slowW * (v - g.worth)
+	if g.shed == 0 {
+		return false
+	}
 	chance := min(math.Pow(g.shed, v/max(g.worth, 1e-9)), 1-leastShare*g.fair.all.share())
-	return g.shed > 0 && g.rng.Float64() < chance
+	return g.rng.Float64() < chance
 }
 
 // dispatch sends what waits for room, of flows that starve first, then dearest work first, and refuses
--- a/choice/fairness_test.go
+++ b/choice/fairness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -114,3 +115,28 @@
 		}
 	}
 }
+
+// Given servers that answer late, behind one gateway of many, when each request is the first of its class for
+// long, then some are refused at once all the same: no class is known well enough there to starve.
+func TestRareKindsAreShedToo(t *testing.T) {
+	const requests = 800
+	f := newFleet(t, 1, func(s *choice.Settings) { s.Gateways = 300 }, manyBackends(60))
+	f.answer = func(time.Duration, int, sent) (time.Duration, choice.Code) { return 950 * ms, choice.OK }
+	refused := 0
+	for i := range requests {
+		now := time.Duration(i+1) * 10 * ms
+		class := choice.Class{Name: strconv.Itoa(i), Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}
+		f.gates[0].Class(now, class)
+		r := request(uint64(i+1), class.Name, "soft", 0.1, now)
+		r.Customer = r.ID
+		f.gates[0].Request(now, r)
+		if _, atOnce := f.worlds[0].refused[r.ID]; atOnce {
+			refused++
+		}
+		f.step(now)
+	}
+	t.Logf("%d of %d requests refused at once", refused, requests)
+	if refused < requests/10 {
+		t.Errorf("%d of %d requests refused at once by a late fleet", refused, requests)
+	}
+}
