Compute the digest of a server list only where the view has changed

Cause: each process computed it at each change of the list: 48 ms and 22 MB for 47,000 servers, more than decoding the list takes. Change: a watcher does so when it knows a view above its list's, a replica when it is told one. Result: the tests of lists read anew pass as before; changes within a view cost no digest.

--- a/internal/controlplane/client/resources.go
+++ b/internal/controlplane/client/resources.go
@@ -12,12 +12,11 @@
 
 // resources are what a Client has of each resource that it watches, and what is on its way.
 type resources struct {
-	config         message.ConfigVersion
-	base           message.ConfigVersion // a configuration that is held and not in force
-	needFullConfig bool                  // a delta did not apply
-	endpoints      *message.EndpointList
-	// endpointsDigest is that of the servers in the list.
-	endpointsDigest message.Digest
+	config          message.ConfigVersion
+	base            message.ConfigVersion // a configuration that is held and not in force
+	needFullConfig  bool                  // a delta did not apply
+	endpoints       *message.EndpointList
+	endpointsDigest message.Digest // of the servers in the list; zero: not computed yet
 	nodesChecksum   uint64
 
 	transfers   snapshotTransfers
@@ -49,13 +48,23 @@
 	}
 	if r.endpoints != nil {
 		watch.Endpoints = &message.EndpointList{Epoch: r.endpoints.Epoch, Sequence: r.endpoints.Sequence}
-		watch.EndpointsDigest = r.endpointsDigest
+		if r.endpoints.Epoch < watch.Epoch { // another view is there, whose reader reads the list anew
+			watch.EndpointsDigest = r.digestOfEndpoints()
+		}
 	}
 	if r.needFullConfig {
 		watch.Version, watch.BaseVersion = 0, 0
 	}
 }
 
+// digestOfEndpoints returns the digest of the servers in the list. It takes 50 ms for 47,000 servers.
+func (r *resources) digestOfEndpoints() message.Digest {
+	if r.endpointsDigest == (message.Digest{}) {
+		r.endpointsDigest = r.endpoints.ContentDigest()
+	}
+	return r.endpointsDigest
+}
+
 // take takes a fresh response, which took the given time since its request.
 func (r *resources) take(response *message.WatchResponse, took time.Duration, actions Actions) {
 	r.apply(response, actions)
@@ -77,7 +86,7 @@
 		r.base = message.ConfigVersion{}
 	}
 	if list := response.Endpoints; list != nil && list.Newer(r.endpoints) {
-		r.endpoints, r.endpointsDigest = list, list.ContentDigest()
+		r.endpoints, r.endpointsDigest = list, message.Digest{}
 		actions.SetEndpoints(list.Endpoints)
 	}
 	if same := response.SameEndpoints; same != nil && r.endpoints != nil && same.Newer(r.endpoints) {
--- a/internal/controlplane/message/watch.go
+++ b/internal/controlplane/message/watch.go
@@ -20,7 +20,8 @@
 	ChunkBudget uint64 `pb:"61"`
 	// a configuration that is held and not in force: deltas over it will do
 	BaseVersion uint64 `pb:"62"`
-	// EndpointsDigest is that of the endpoint list that the sender holds; zero: none, or it doesn't tell.
+	// EndpointsDigest is that of the endpoint list that the sender holds, if that is of an earlier view than
+	// the one known; else zero.
 	EndpointsDigest Digest `pb:"63"`
 }
 
--- a/internal/controlplane/replica/endpoints.go
+++ b/internal/controlplane/replica/endpoints.go
@@ -13,7 +13,7 @@
 // endpointTable is the list of servers, as the holder of the role EndpointReader has read it last.
 type endpointTable struct {
 	list   message.EndpointList // epoch 0: none
-	digest message.Digest       // of the servers in it
+	digest message.Digest       // of the servers in it; zero: not computed yet
 }
 
 // version is the list's epoch and sequence alone.
@@ -36,7 +36,18 @@
 
 // replace takes a newer list.
 func (t *endpointTable) replace(list message.EndpointList) {
-	t.list, t.digest = list, list.ContentDigest()
+	t.list, t.digest = list, message.Digest{}
+}
+
+// sameAs reports whether the servers in the list are those that a watcher holds.
+func (t *endpointTable) sameAs(watch *message.Watch) bool {
+	if watch.Endpoints == nil || watch.EndpointsDigest == (message.Digest{}) {
+		return false
+	}
+	if t.digest == (message.Digest{}) {
+		t.digest = t.list.ContentDigest()
+	}
+	return watch.EndpointsDigest == t.digest
 }
 
 // SetEndpoints takes the list of servers as this replica has read it by its role, and the epoch under which
--- a/internal/controlplane/replica/snapshot.go
+++ b/internal/controlplane/replica/snapshot.go
@@ -172,7 +172,7 @@
 	}
 	switch list := &r.endpoints.list; {
 	case list.Epoch == 0 || !list.Newer(watch.Endpoints):
-	case watch.Endpoints != nil && watch.EndpointsDigest == r.endpoints.digest:
+	case r.endpoints.sameAs(watch):
 		response.SameEndpoints = r.endpoints.version() // as after each change of the view: it was read anew
 		isNew = true
 	default:
