--- a/internal/controlplane/transport/authentication_test.go
+++ b/internal/controlplane/transport/authentication_test.go
@@ -27,7 +27,8 @@
 	refused chan string
 }
 
-func startPeer(t *testing.T, network *memoryNetwork, host string, authentication Authentication) *peerProcess {
+func startPeer(t *testing.T, network *memoryNetwork, host string,
+	authentication Authentication) *peerProcess {
 	t.Helper()
 	p := &peerProcess{heard: make(chan string, 64), refused: make(chan string, 64)}
 	self := net.JoinHostPort(host, "7560")
