--- a/cmd/dunespoke-gateway/main_test.go
+++ b/cmd/dunespoke-gateway/main_test.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"fmt"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -36,6 +39,34 @@
 	}
 }
 
+// Given settings that name a file of keys, when that is missing or has a key that is too short, then check
+// says so, and doesn't show the key.
+func TestCheckReadsTheKeys(t *testing.T) {
+	dir := t.TempDir()
+	text, err := os.ReadFile("../../example/cluster/settings.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys, file := filepath.Join(dir, "peer.keys"), filepath.Join(dir, "settings.toml")
+	text = append(text, fmt.Sprintf("\n[peer_auth]\nkey_file = %q\n", keys)...)
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := run([]string{"check", "--settings", file}); err == nil || !strings.Contains(err.Error(), "peer.keys") {
+		t.Errorf("no file of keys: %v", err)
+	}
+	for key, want := range map[string]string{"short-one": "at least 32 characters", strings.Repeat("k", 32): ""} {
+		if err := os.WriteFile(keys, []byte(key), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		err := run([]string{"check", "--settings", file})
+		if (err == nil) != (want == "") || err != nil && (!strings.Contains(err.Error(), want) ||
+			strings.Contains(err.Error(), key)) {
+			t.Errorf("a key of %d characters: %v", len(key), err)
+		}
+	}
+}
+
 // Given the command line, then files and folders reach the commands that take them, and what is missing is
 // named.
 func TestCommandsTakeTheirFiles(t *testing.T) {
--- a/cmd/dunespoke-gateway/serve.go
+++ b/cmd/dunespoke-gateway/serve.go
@@ -47,6 +47,9 @@
 		if err != nil {
 			return err
 		}
+		if err := server.CheckPeerKeys(set); err != nil {
+			return trace.Wrap(err, "%s", c.Settings)
+		}
 		fmt.Printf("%s: node %s in %s: good\n", c.Settings, set.NodeName, set.Zone)
 	}
 	if c.Config == "" {
--- a/internal/controlplane/api/status.go
+++ b/internal/controlplane/api/status.go
@@ -46,10 +46,7 @@
 
 // status tells how this process sees the cluster.
 func (h *Handler) status(_ *http1.Request, respond func(*http1.Answer)) {
-	h.Cluster.Status(func(status NodeStatus) {
-		status.Ready = h.Ready()
-		respond(jsonResponse(status))
-	})
+	h.Cluster.Status(func(status NodeStatus) { respond(jsonResponse(status)) })
 }
 
 // slowRequests tells which requests ran late or were given up.
--- a/internal/server/cluster.go
+++ b/internal/server/cluster.go
@@ -47,7 +47,7 @@
 // Status tells how this process sees the cluster.
 func (s *Server) Status(done func(api.NodeStatus)) {
 	s.loop.post(func() {
-		status := api.NodeStatus{Node: s.settings.NodeName, Zone: s.settings.Zone,
+		status := api.NodeStatus{Node: s.settings.NodeName, Zone: s.settings.Zone, Ready: s.isReady(),
 			Version: fmt.Sprintf("r%d", s.configVersion.Load()), Endpoints: s.endpointCount, Nodes: s.nodeCount,
 			Epoch: s.epoch, Chain: s.chain}
 		if host := s.node.ConnectedHost(); host != nil {
--- a/internal/server/wiring.go
+++ b/internal/server/wiring.go
@@ -107,6 +107,12 @@
 	return s.serveControl()
 }
 
+// CheckPeerKeys reads the file of keys that settings name, if they name one, and returns what is wrong.
+func CheckPeerKeys(set *settings.Settings) error {
+	_, err := peerAuthentication(set)
+	return err
+}
+
 // peerAuthentication is by what peers are authenticated, as the settings say.
 func peerAuthentication(set *settings.Settings) (transport.Authentication, error) {
 	if set.PeerAuth.KeyFile == "" {
