--- a/cmd/dunespoke-gateway/main_test.go
+++ b/cmd/dunespoke-gateway/main_test.go
@@ -52,17 +52,21 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if err := run([]string{"check", "--settings", file}); err == nil || !strings.Contains(err.Error(), "peer.keys") {
+	check := []string{"check", "--settings", file}
+	if err := run(check); err == nil || !strings.Contains(err.Error(), "peer.keys") {
 		t.Errorf("no file of keys: %v", err)
 	}
-	for key, want := range map[string]string{"short-one": "at least 32 characters", strings.Repeat("k", 32): ""} {
+	wanted := map[string]string{"short-one": "at least 32 characters", strings.Repeat("k", 32): ""}
+	for key, want := range wanted {
 		if err := os.WriteFile(keys, []byte(key), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		err := run([]string{"check", "--settings", file})
-		if (err == nil) != (want == "") || err != nil && (!strings.Contains(err.Error(), want) ||
-			strings.Contains(err.Error(), key)) {
+		err := run(check)
+		switch {
+		case (err == nil) != (want == ""):
 			t.Errorf("a key of %d characters: %v", len(key), err)
+		case err != nil && (!strings.Contains(err.Error(), want) || strings.Contains(err.Error(), key)):
+			t.Errorf("a key of %d characters: %v; want %q, and not the key", len(key), err, want)
 		}
 	}
 }
--- a/internal/server/status_test.go
+++ b/internal/server/status_test.go
@@ -75,7 +75,8 @@
 	}
 	s.loop.post(func() {
 		s.handler.SetConfig(table)
-		s.handler.SetEndpoints([]message.Endpoint{{ID: "one", Service: "greeter", Addr: "127.0.0.77:1", Zone: "home"}})
+		s.handler.SetEndpoints([]message.Endpoint{
+			{ID: "one", Service: "greeter", Addr: "127.0.0.77:1", Zone: "home"}})
 	})
 	s.await(readyWithin, s.isReady)
 	if !status().Ready {
