Review, case 1: a first start stands still for good after a kill of two seeds

Change: a script on the same stand-ins: seeds without a disk, two of them killed 0.4 s after the first start, back a second later. The report has a line for each entry.

--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -42,6 +42,7 @@
 	dir      string // temporary
 	record   *record
 	machines []*machine
+	seeds    []*machine // whose control addresses all processes are told
 	servers  []*appServer
 
 	mu     sync.Mutex
@@ -79,7 +80,7 @@
 // settings writes the settings file of a machine, in the form of DEPLOY.md with the figures of mmssa-gate.
 func (c *cluster) settings(m *machine, fresh bool) {
 	var seeds []string
-	for _, s := range c.machines[:3] {
+	for _, s := range c.seeds {
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", s.ip, controlPort)))
 	}
 	data := ""
@@ -146,6 +147,7 @@
 		check(os.MkdirAll(filepath.Join(m.dir, "data"), 0o755))
 		c.machines = append(c.machines, m)
 	}
+	c.seeds = c.machines[:3]
 	return c
 }
 
@@ -225,20 +227,33 @@
 
 // put sends a configuration until it is acknowledged, to one machine after the other.
 func (c *cluster) put(version int, config []byte) {
+	if !c.tryPut(version, config, 20*time.Second) {
+		panic(cannotRun{fmt.Sprintf("r%d was not acknowledged", version)})
+	}
+}
+
+// tryPut is put with a time limit. It reports whether the configuration was acknowledged.
+func (c *cluster) tryPut(version int, config []byte, limit time.Duration) bool {
 	c.record.add("operator: sends r%d", version)
-	for try := 0; try < 100; try++ {
+	begun, last := time.Now(), 0
+	for try := 0; time.Since(begun) < limit; try++ {
 		m := c.machines[try%len(c.machines)]
 		status, answer := c.call(m, "config.replace", config)
 		if status == http.StatusOK {
 			c.record.add("operator: r%d acknowledged by %s: %s", version, m.name, bytes.TrimSpace(answer))
-			return
+			return true
+		}
+		if status != last {
+			c.record.add("operator: r%d to %s: status %d %s", version, m.name, status, bytes.TrimSpace(answer))
+			last = status
 		}
 		if status != 0 && status < 500 {
 			panic(cannotRun{fmt.Sprintf("r%d: status %d: %s", version, status, answer)})
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	panic(cannotRun{fmt.Sprintf("r%d was not acknowledged", version)})
+	c.record.add("operator: r%d has no acknowledgement after %v", version, limit)
+	return false
 }
 
 // awaitReady waits until all machines are ready.
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -12,8 +12,9 @@
 
 // cases are the cases by name. A case returns whether the rule held, and what it found.
 var cases = map[string]func(c *cluster, trouble bool) (held bool, verdict string){
-	"giveup": giveUp,
-	"limits": limits,
+	"firststart": firstStart,
+	"giveup":     giveUp,
+	"limits":     limits,
 }
 
 func main() { os.Exit(run()) }
