--- a/review/stand/giveup.go
+++ b/review/stand/giveup.go
@@ -12,13 +12,17 @@
 
 // darkServer is a sound server whose answers are long, so that sending one takes a part of a second. While
 // it is dark it is silent: it reads nothing, sends nothing and takes no connections into work. When it comes
-// back, it is as after a loss of power: the connections that it had are reset.
+// back, it is as after a loss of power: the connections that it had are reset, and it has a new id.
 type darkServer struct {
 	id, addr string
 	record   *record
 	slots    chan struct{} // it works on two requests at once, and queues the others
 
+	entry map[string]any // on the platform's list
+	owner *cluster
+
 	mu       sync.Mutex
+	life     int           // how often it has come back; each life has an id of its own
 	sending  int           // answers of which a part was sent
 	dark     chan struct{} // closed when the server comes back; nil: it is not dark
 	accepted map[net.Conn]struct{}
@@ -31,7 +35,7 @@
 )
 
 func (c *cluster) addDarkServer(number int, service, zone string) *darkServer {
-	s := &darkServer{id: fmt.Sprintf("i-%s-%d", service, number), record: c.record,
+	s := &darkServer{id: fmt.Sprintf("i-%s-%d", service, number), record: c.record, owner: c,
 		addr: fmt.Sprintf("127.7.8.%d:%d", number, serverPort), accepted: map[net.Conn]struct{}{},
 		slots: make(chan struct{}, 2)}
 	l, err := net.Listen("tcp", s.addr)
@@ -50,19 +54,23 @@
 	}()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.listed = append(c.listed, map[string]any{"id": s.id, "backend": service, "address": s.addr, "zone": zone,
-		"version": "v1", "capacity": 2, "state": "warm", "warmup_left_s": 0})
+	s.entry = map[string]any{"id": s.id, "backend": service, "address": s.addr, "zone": zone,
+		"version": "v1", "capacity": 2, "state": "warm", "warmup_left_s": 0}
+	c.listed = append(c.listed, s.entry)
 	return s
 }
 
-// awaitLight waits while the server is dark.
-func (s *darkServer) awaitLight() {
+// lives waits while the server is dark, and reports whether it is still in the given life.
+func (s *darkServer) lives(life int) bool {
 	s.mu.Lock()
 	dark := s.dark
 	s.mu.Unlock()
 	if dark != nil {
 		<-dark
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.life == life
 }
 
 func (s *darkServer) serve(conn net.Conn) {
@@ -72,27 +80,32 @@
 		delete(s.accepted, conn)
 		s.mu.Unlock()
 	}()
+	s.mu.Lock()
+	life, self := s.life, s.id
+	s.mu.Unlock()
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
-		s.awaitLight()
+		if !s.lives(life) {
+			return
+		}
 		id := r.Header.Get("Attempt-Id")
 		if _, err := io.Copy(io.Discard, r.Body); err != nil || id == "" {
 			return
 		}
-		if r.Header.Get("Target-Server") != s.id {
-			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nServer-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id)
+		if r.Header.Get("Target-Server") != self {
+			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nServer-Id: %s\r\nContent-Length: 0\r\n\r\n", self)
 			continue
 		}
 		s.slots <- struct{}{}
-		s.record.add("%s: runs %s, Time-Left-Ms %s", s.id, id, r.Header.Get("Time-Left-Ms"))
+		s.record.add("%s: runs %s, Time-Left-Ms %s", self, id, r.Header.Get("Time-Left-Ms"))
 		time.Sleep(20 * time.Millisecond)
 		_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal-%s\r\n"+
 			"Content-Length: %d\r\n\r\n", id, id, longAnswer)
-		whole := err == nil && s.sendBody(conn)
+		whole := err == nil && s.sendBody(conn, life)
 		<-s.slots
 		if !whole {
 			return
@@ -101,7 +114,7 @@
 }
 
 // sendBody sends the body in pieces.
-func (s *darkServer) sendBody(conn net.Conn) (whole bool) {
+func (s *darkServer) sendBody(conn net.Conn, life int) (whole bool) {
 	defer func() {
 		s.mu.Lock()
 		s.sending--
@@ -111,7 +124,9 @@
 	s.sending++
 	s.mu.Unlock()
 	for sent := 0; sent < longAnswer; sent += answerPiece {
-		s.awaitLight()
+		if !s.lives(life) {
+			return false
+		}
 		if _, err := conn.Write(make([]byte, answerPiece)); err != nil {
 			return false
 		}
@@ -129,7 +144,13 @@
 	time.Sleep(length)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.record.add("%s: back", s.id)
+	s.life++
+	old := s.id
+	s.id = fmt.Sprintf("%s-%d", s.addr, s.life)
+	s.record.add("%s: back as %s", old, s.id)
+	s.owner.mu.Lock()
+	s.entry["id"] = s.id
+	s.owner.mu.Unlock()
 	for conn := range s.accepted {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		conn.Close()
@@ -138,12 +159,12 @@
 	s.dark = nil
 }
 
-// giveUp lets one of eight servers go dark for 4.5 s, eight times, while it sends answers, and measures how
+// giveUp lets one of eight servers go dark for 4.5 s, five times, while it sends answers, and measures how
 // long the clients wait for the ends of their requests.
 func giveUp(c *cluster, trouble bool) (held bool, verdict string) {
 	const (
 		servers = 8 // one of them is a share of 0.125
-		rounds  = 8
+		rounds  = 5
 		darkFor = 4500 * time.Millisecond
 		giveUp  = 800 * time.Millisecond
 		slack   = 500 * time.Millisecond
@@ -158,9 +179,10 @@
 	time.Sleep(4 * time.Second)
 	var mu sync.Mutex
 	total, whole, atGiveUp, unanswered, longest := 0, 0, 0, 0, time.Duration(0)
-	patient := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	patient := &http.Client{Timeout: 1500 * time.Millisecond,
+		Transport: &http.Transport{DisableKeepAlives: true}}
 	ask := func(id string, m *machine) {
-		r := request(m, id, "5000")
+		r := request(m, id, "1500")
 		c.record.add("client: sends %s to %s", id, m.name)
 		start, status, n := time.Now(), 0, int64(0)
 		answer, err := patient.Do(r)
@@ -206,6 +228,7 @@
 				s.mu.Unlock()
 			}
 			busiest.goDark(darkFor)
+			time.Sleep(2 * time.Second) // the gateways read the list
 		}
 		wg.Wait()
 		time.Sleep(time.Second)
