review: the small tenant's clients are passed to gateways by a hash

Cause: the first version had one client at each gateway, and read a map without its lock. Change: 60 clients of a tenant with 20 a second, each at the gateway that a hash names.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -10,7 +10,7 @@
 
 // cases are the cases by name. Each returns whether the rule was broken, and what was counted.
 var cases = map[string]func(trouble bool) (broken bool, summary string){
-	"quota":  quotaCase,
+	"quota": quotaCase,
 }
 
 func main() {
--- a/review/rig/quota.go
+++ b/review/rig/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/crc32"
 	"io"
 	"net/http"
 	"sort"
@@ -12,12 +13,13 @@
 
 // The quota of the tenant that is counted, and the figures of the rule.
 const (
-	quotaRate    = 5.0
+	quotaRate    = 20.0
 	quotaBurst   = 1.0
 	quotaWindow  = 5 * time.Second
 	quotaAllowed = (quotaRate*5+quotaBurst)*1.1 + 20
 	quotaTimes   = 8 // of its usual, while the tenant is hot
 	quotaPlay    = 20 * time.Second
+	quotaClients = 60 // of the tenant; each is passed to a gateway by a hash of its name
 )
 
 // quotaRun is a request that a server has run.
@@ -31,8 +33,8 @@
 	statuses map[string]int
 }
 
-// quotaCase has a small tenant send eight times its usual, in step, through all of 15 gateways, while another
-// tenant has steady traffic.
+// quotaCase has the 30 clients of a small tenant send eight times its usual, in step, through 15 gateways, while
+// another tenant has steady traffic.
 func quotaCase(trouble bool) (broken bool, summary string) {
 	log := &quotaLog{sent: map[string]time.Time{}, statuses: map[string]int{}}
 	p := &platform{}
@@ -57,13 +59,19 @@
 	if trouble {
 		rate *= quotaTimes
 	}
-	perGateway := rate / float64(len(c.gateways))
-	note("small sends %.1f a second, a request to each gateway at once", rate)
+	perClient := rate / quotaClients
+	note("small sends %.1f a second: a request of each of its %d clients at once", rate, quotaClients)
 	begin := time.Now()
 	var wg sync.WaitGroup
+	for i := range quotaClients {
+		wg.Add(1)
+		name := fmt.Sprintf("small-%d", i)
+		g := c.gateways[crc32.ChecksumIEEE([]byte(name))%uint32(len(c.gateways))]
+		note("%s is passed to %s", name, g.name)
+		go log.call(&wg, &caller{addr: c.client(g)}, name, "key-of-small", begin, perClient)
+	}
 	for i, g := range c.gateways {
-		wg.Add(2)
-		go log.call(&wg, &caller{addr: c.client(g)}, fmt.Sprintf("small-%d", i), "key-of-small", begin, perGateway)
+		wg.Add(1)
 		go log.call(&wg, &caller{addr: c.client(g)}, fmt.Sprintf("large-%d", i), "key-of-large",
 			begin.Add(time.Duration(i)*4*time.Millisecond), 15)
 	}
@@ -99,8 +107,9 @@
 		}
 		time.Sleep(time.Until(at))
 		id := fmt.Sprintf("%s-%d", name, k)
+		sent := time.Now()
 		l.Lock()
-		l.sent[id] = time.Now()
+		l.sent[id] = sent
 		l.Unlock()
 		status := "no answer"
 		if c.send(2*time.Second, "/balance/1", id, key, 800, "") {
@@ -118,7 +127,7 @@
 		l.statuses[name[:5]+" "+status]++
 		l.Unlock()
 		if key == "key-of-small" {
-			note("sent %s at %.3f: %s", id, l.sent[id].Sub(record.start).Seconds(), status)
+			note("sent %s at %.3f: %s", id, sent.Sub(record.start).Seconds(), status)
 		}
 	}
 }
