--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -1,6 +1,6 @@
-// Command rig runs the scripts of the second review: it starts gateways of the project as separate processes on
-// loopback addresses, plays their platform, servers and clients, and checks one rule. It exits with 1 if the
-// rule was broken, 0 if it held and 2 if the case couldn't run.
+// Command rig runs the scripts of the second review: it starts gateways of the project as separate processes
+// on loopback addresses, plays their platform, servers and clients, and checks one rule. It exits with 1 if
+// the rule was broken, 0 if it held and 2 if the case couldn't run.
 package main
 
 import (
--- a/review/rig/quota.go
+++ b/review/rig/quota.go
@@ -33,7 +33,7 @@
 	statuses map[string]int
 }
 
-// quotaCase has the 30 clients of a small tenant send eight times its usual, in step, through 15 gateways, while
+// quotaCase has the clients of a small tenant send eight times its usual, in step, through 15 gateways, while
 // another tenant has steady traffic.
 func quotaCase(trouble bool) (broken bool, summary string) {
 	log := &quotaLog{sent: map[string]time.Time{}, statuses: map[string]int{}}
@@ -46,8 +46,8 @@
 	c := newCluster(77, 15, 3, p.serve("127.0.77.1"))
 	c.serve(strings.NewReplacer("RATE", fmt.Sprint(quotaRate), "BURST", fmt.Sprint(quotaBurst)).Replace(
 		`{"version":"r1","items_of":[
-{"item_kind":"routes","metadata":{"name":"balance"},"desired":{"domain":"bank.example","path_start":"/balance/",
-"kind":"read_only","give_up_s":0.8,"target_s":0.2,"rank":2,"backend":"ledgerview","tries":2,"public":false}},
+{"item_kind":"routes","metadata":{"name":"balance"},"desired":{"domain":"bank.example",
+"path_start":"/balance/","kind":"read_only","give_up_s":0.8,"target_s":0.2,"rank":2,"backend":"ledgerview","tries":2,"public":false}},
 {"item_kind":"backends","metadata":{"name":"ledgerview"},"desired":{"health_path":"/health","max_conns":150,
 "protocol":"h1","encryption":false}},
 {"item_kind":"customers","metadata":{"name":"small"},"desired":{"api_keys":["key-of-small"],"rank":0,
