--- a/review/rig/quota.go
+++ b/review/rig/quota.go
@@ -47,7 +47,8 @@
 	c.serve(strings.NewReplacer("RATE", fmt.Sprint(quotaRate), "BURST", fmt.Sprint(quotaBurst)).Replace(
 		`{"version":"r1","items_of":[
 {"item_kind":"routes","metadata":{"name":"balance"},"desired":{"domain":"bank.example",
-"path_start":"/balance/","kind":"read_only","give_up_s":0.8,"target_s":0.2,"rank":2,"backend":"ledgerview","tries":2,"public":false}},
+"path_start":"/balance/","kind":"read_only","give_up_s":0.8,"target_s":0.2,"rank":2,
+"backend":"ledgerview","tries":2,"public":false}},
 {"item_kind":"backends","metadata":{"name":"ledgerview"},"desired":{"health_path":"/health","max_conns":150,
 "protocol":"h1","encryption":false}},
 {"item_kind":"customers","metadata":{"name":"small"},"desired":{"api_keys":["key-of-small"],"rank":0,
